--- a/notchbeam/decide.py
+++ b/linkdock/decide.py
@@ -1,4 +1,4 @@
-"""Every decision of notchbeam. Settings, events and actions: `notchbeam/interface.py`.
+"""Every decision of linkdock. Settings, events and actions: `linkdock/interface.py`.
 
 Ordinary path: a message goes to its destination by one call that may last tau, Danzig's equation (3) over
 the destination's running loss p, service time x and round trip 2y. Around it stand guards for slots, health,
--- a/notchbeam/drill.py
+++ b/linkdock/drill.py
@@ -56,7 +56,7 @@
             sink.write(host.reply(_read(source, wire.LENGTH.unpack(head)[0])))
             sink.flush()
     except (wire.WireError, ValueError) as bad:
-        print(f"notchbeam.drill: {bad}", file=sys.stderr)
+        print(f"linkdock.drill: {bad}", file=sys.stderr)
         return 1
     return 0
 
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -5,8 +5,8 @@
 import pytest
 from test_relay import R, Rig, of, settings
 
-from notchbeam import decide
-from notchbeam import interface as i
+from linkdock import decide
+from linkdock import interface as i
 
 WEIGHT, COLD, MULTIPLE, TIP = 20.0, 0.2, 2.0, 2.0
 
--- a/tests/test_list.py
+++ b/tests/test_list.py
@@ -3,7 +3,7 @@
 import pytest
 from test_relay import Rig, of
 
-from notchbeam import interface as i
+from linkdock import interface as i
 
 WITHIN, TICK = 10.0, 0.05
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -9,13 +9,13 @@
 
 
 def test_module_stays_printable():
-    lines = (ROOT / "notchbeam" / "decide.py").read_text().splitlines()
+    lines = (ROOT / "linkdock" / "decide.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 710
     assert max(map(len, lines)) <= 110
 
 
 def drill(data: bytes) -> subprocess.CompletedProcess:
-    command = [sys.executable, "-m", "notchbeam.drill"]
+    command = [sys.executable, "-m", "linkdock.drill"]
     return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, timeout=30)
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from notchbeam import decide
-from notchbeam import interface as i
+from linkdock import decide
+from linkdock import interface as i
 
 R = i.Result
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,8 +10,8 @@
 from hypothesis import strategies as st
 from test_relay import R, of
 
-from notchbeam import decide
-from notchbeam import interface as i
+from linkdock import decide
+from linkdock import interface as i
 
 NEVER_RAN = {R.FULL, R.CONNECT_FAILED, R.MOOT}
 DOUBTFUL_KEY = {R.TIMEOUT, R.RESET, R.CANCELLED}
--- a/tests/test_shared_calls.py
+++ b/tests/test_shared_calls.py
@@ -3,7 +3,7 @@
 import pytest
 from test_relay import R, Rig, of
 
-from notchbeam import interface as i
+from linkdock import interface as i
 
 
 def rig(batch=10, effect=i.Effect.KEYED, **more):
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from notchbeam import interface as i
-from notchbeam import wire
-from notchbeam.drill import Host
+from linkdock import interface as i
+from linkdock import wire
+from linkdock.drill import Host
 
 INFO = {"grades": [{"idempotency": "read_like", "aim": 1.0, "hard-limit": 6.0}], "balancers": 2,
         "limits": {"max-open": 50, "max-attempts": 4}, "extra": {"calls-out": 5, "new-key": 1}, "rules": {},
