--- /dev/null
+++ b/linkdock/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m linkdock`: one real sender."""
+
+import sys
+
+from .service.run import main
+
+sys.exit(main())
--- a/linkdock/decide.py
+++ b/linkdock/decide.py
@@ -137,7 +137,7 @@
         self.deadline = now + m.expires_in
         self.start = self.deadline - cls.deadline if m.again or m.orphaned else now
         self.worth = cls.worth * over
-        self.attempts = 0
+        self.attempts = m.attempts
         self.call: Call | None = None
         self.doubt: float | None = None
         self.doubt_zone = 0
--- /dev/null
+++ b/linkdock/facade.py
@@ -0,0 +1,256 @@
+"""The decisions in blocking style: `report` what happened, `tick`, then `pick` what to do until None.
+
+The only module that sees the events and actions of `decide`; everyone else uses the plain values below.
+A request is named by its id on the wire, a backend server by its name in the server table.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf
+from typing import NamedTuple
+
+from . import interface as i
+from .decide import Relay
+
+# How a dispatch ended, in the words that staff use.
+DELIVERED, ERROR, TURNED_AWAY, TIMED_OUT = "delivered", "error", "turned away", "timed out"
+NOT_CONNECTED, RESET, CANCELLED, NOT_SENT = "not connected", "reset", "cancelled", "not sent"
+NEVER_RAN = frozenset({TURNED_AWAY, NOT_CONNECTED, NOT_SENT})
+
+_RESULTS = {
+    DELIVERED: i.Result.OK, ERROR: i.Result.ERROR, TURNED_AWAY: i.Result.FULL, TIMED_OUT: i.Result.TIMEOUT,
+    NOT_CONNECTED: i.Result.CONNECT_FAILED, RESET: i.Result.RESET, CANCELLED: i.Result.CANCELLED,
+    NOT_SENT: i.Result.MOOT}
+_STATES = {"ready": i.HostState.READY, "draining": i.HostState.DRAINING, "gone": i.HostState.GONE}
+_LISTS = {"kept": i.ListKind.CACHED, "whole": i.ListKind.FULL, "changes": i.ListKind.DELTA}
+
+
+class Server(NamedTuple):
+    """One line of the server table."""
+
+    name: str
+    dial: tuple[str, int]
+    destination: int
+    health: str = "ready"
+    kind: int = 0
+    zone: int = 0
+    share: float = 1.0
+    born: float = 0.0
+
+
+# --- Facts, for `report`.
+
+class Table(NamedTuple):
+    """News of the server table: as `kept` from before, the `whole` of it, or `changes`."""
+
+    how: str
+    servers: Iterable[Server]
+    version: int = 0
+
+
+class Take(NamedTuple):
+    """A request came in; `used` dispatches were spent on it by an earlier life of this sender."""
+
+    request: str
+    cls: int
+    destination: int
+    left: float
+    key: int = 0
+    again: bool = False
+    held: bool = False
+    used: int = 0
+
+
+class End(NamedTuple):
+    """A dispatch ended; `over` where the request itself is over with it."""
+
+    request: str
+    attempt: int
+    server: str
+    how: str
+    elapsed: float
+    wait: float = 0.0
+    load: tuple[float, float] | None = None
+    over: bool = False
+
+
+class Withdraw(NamedTuple):
+    """Nobody waits for this request any more, or it ended outside the decisions."""
+
+    request: str
+
+
+# --- Orders, from `pick`.
+
+class Item(NamedTuple):
+    """One request in a dispatch; `limit` is how long it may last in seconds, 0 for the time left."""
+
+    request: str
+    attempt: int
+    limit: float
+
+
+class Dispatch(NamedTuple):
+    """One call to one backend server, with one request or, where its kind batches, several."""
+
+    server: str
+    items: list[Item]
+
+
+class Deny(NamedTuple):
+    """Final: handing the request in again is harmless, after `wait` seconds (0: no advice)."""
+
+    request: str
+    wait: float
+
+
+class Drop(NamedTuple):
+    """Final: the request failed, and nothing is promised about its effect."""
+
+    request: str
+
+
+class Cancel(NamedTuple):
+    """Stop waiting for one dispatch."""
+
+    request: str
+    attempt: int
+
+
+class Retire(NamedTuple):
+    """Close the idle connections to one backend server."""
+
+    server: str
+
+
+class Remark(NamedTuple):
+    """A line for staff."""
+
+    text: str
+
+
+@dataclass(slots=True)
+class _Known:
+    """A request that the decisions still know: by number there, by id here."""
+
+    request: str
+    number: int
+    attempts: int
+    over: bool = False
+    out: set[int] = field(default_factory=set)
+
+
+class Facade:
+    """One sender's decisions. Nothing is decided between ticks."""
+
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self._settings, self._relay = settings, Relay(settings, seed)
+        self._facts: list[i.Event] = []
+        self._orders: deque = deque()
+        self._known: dict[str, _Known] = {}
+        self._numbers: dict[int, _Known] = {}
+        self._last = 0
+        self._kinds: dict[str, int] = {}
+        self._bell: tuple[float, int] | None = None
+
+    # --- In.
+
+    def report(self, fact: Table | Take | End | Withdraw) -> None:
+        """Queue a fact for the next tick. What is unknown or long over is passed over."""
+        match fact:
+            case Table(how, servers, version):
+                entries = [
+                    i.HostEntry(s.name, s.destination, _STATES[s.health], s.kind, s.zone, s.share, s.born)
+                    for s in servers]
+                self._kinds.update((e.host, e.kind) for e in entries)
+                self._facts.append(i.Hosts(_LISTS[how], entries, version))
+            case Take(request, cls, destination, left, key, again, held, used):
+                self._last += 1
+                known = _Known(request, self._last, used)
+                self._known[request] = self._numbers[self._last] = known
+                self._facts.append(i.Message(self._last, cls, destination, left, 0, key, again, held, used))
+            case End(request, attempt, server, how, elapsed, wait, load, over):
+                known = self._known.get(request)
+                if known is None or attempt not in known.out:
+                    return
+                known.out.discard(attempt)
+                done = known.over = known.over or over or how == DELIVERED
+                self._facts.append(i.Outcome(
+                    known.number, attempt, server, _RESULTS[how], elapsed, done, wait,
+                    None if load is None else i.Report(*load)))
+                self._forget(known)
+            case Withdraw(request):
+                known = self._known.get(request)
+                if known is not None and not known.over:
+                    known.over = True
+                    self._facts.append(i.Withdrawn(known.number))
+                    self._forget(known)
+
+    def _forget(self, known: _Known) -> None:
+        """The names of a request go once it is over and the last of its dispatches has ended."""
+        if known.over and not known.out:
+            self._known.pop(known.request, None)
+            self._numbers.pop(known.number, None)
+
+    # --- Out.
+
+    def due(self, now: float) -> bool:
+        """Whether a tick has anything to do."""
+        return bool(self._facts) or self._bell is not None and self._bell[0] <= now
+
+    def tick(self, now: float) -> None:
+        """One decision pass over all that was reported."""
+        facts, self._facts = self._facts, []
+        if self._bell is not None and self._bell[0] <= now:
+            facts.append(i.TimerDue(self._bell[1]))
+            self._bell = None
+        open_calls: dict[str, Dispatch] = {}
+        for action in self._relay.handle(now, facts):
+            match action:
+                case i.Send(number, host, limit):
+                    self._dispatch(self._numbers[number], host, limit, open_calls)
+                case i.Refuse(number, wait):
+                    self._final(number, lambda request, wait=wait: Deny(request, wait))
+                case i.Fail(number):
+                    self._final(number, Drop)
+                case i.Cancel(number, attempt):
+                    known = self._numbers.get(number)
+                    if known is not None and attempt in known.out:
+                        self._orders.append(Cancel(known.request, attempt))
+                case i.SetTimer(at, token):
+                    self._bell = at, token
+                case i.CloseIdle(host):
+                    self._orders.append(Retire(host))
+                case i.Log(text):
+                    self._orders.append(Remark(text))
+
+    def _dispatch(self, known: _Known, server: str, limit: float, open_calls: dict[str, Dispatch]) -> None:
+        """Requests of one tick for one server travel together, as many as its kind takes."""
+        item = Item(known.request, known.attempts, limit)
+        known.out.add(known.attempts)
+        known.attempts += 1
+        call = open_calls.get(server)
+        if call is None or len(call.items) >= self._settings.kinds[self._kinds[server]].batch:
+            call = open_calls[server] = Dispatch(server, [])
+            self._orders.append(call)
+        call.items.append(item)
+
+    def _final(self, number: int, order) -> None:
+        known = self._numbers.get(number)
+        if known is not None and not known.over:
+            known.over = True
+            self._orders.append(order(known.request))
+            self._forget(known)
+
+    def pick(self) -> Dispatch | Deny | Drop | Cancel | Retire | Remark | None:
+        """The next thing to do, or None when there is nothing before another tick."""
+        return self._orders.popleft() if self._orders else None
+
+    def advice(self, destination: int) -> float:
+        """How many seconds a client that is denied at the door should stay away."""
+        dest = self._relay.dests.get(destination)
+        wait = self._relay.wait_for(dest) if dest is not None and self._settings.retry_after else 0.0
+        return min(self._settings.max_retry_after, wait if wait < inf else 0.0)
--- a/linkdock/interface.py
+++ b/linkdock/interface.py
@@ -167,6 +167,7 @@
     key: int = 0
     again: bool = False
     orphaned: bool = False
+    attempts: int = 0   # spent on it before this relay started
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/linkdock/protocol/calls.py
@@ -0,0 +1,243 @@
+"""Calls to backend servers: one dispatch over one connection, alone or as a batch, and how it ended."""
+
+from __future__ import annotations
+
+import base64
+import json
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+from tornado.iostream import StreamClosedError
+
+from ..facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, TURNED_AWAY, Item
+from ..facade import Dispatch as Order
+from ..state.pool import BUFFER, Connection, ConnectionPool, PoolFull
+from ..state.requests import Request
+from ..state.table import ServerTable
+from ..state.wheel import Wheel
+from . import http
+
+log = logging.getLogger(__name__)
+
+MOST_BODY = 64 * 1024
+REST_OF_ANSWER = 1.0   # seconds that the rest of an answer may take once its outcome is known
+STATES = {"done": DELIVERED, "failed": ERROR, "busy": TURNED_AWAY, "void": NOT_SENT, "used_up": NOT_SENT}
+
+
+class Desk(Protocol):
+    """What a call needs of its owner."""
+
+    def may_go(self, server: str, item: Item) -> bool:
+        """Asked right before the first byte goes out; a yes is on record."""
+
+    def ended(self, server: str, item: Item, how: str, elapsed: float, wait: float = 0.0,
+              load: tuple[float, float] | None = None, over: bool = False, owed: bool = False) -> None:
+        """An item has its outcome; `over` where the request is over, `owed` where its end is still owed."""
+
+    def delivered_late(self, request: str) -> None:
+        """An item that had been given up was delivered all the same."""
+
+
+class Backend:
+    """What all calls share."""
+
+    def __init__(self, desk: Desk, table: ServerTable, pool: ConnectionPool, wheel: Wheel,
+                 clock: Callable[[], float], connect_timeout: float, fields: list[str]) -> None:
+        self.desk, self.table, self.pool, self.wheel, self.clock = desk, table, pool, wheel, clock
+        self.connect_timeout, self.fields = connect_timeout, fields
+
+    def load(self, headers: dict[str, str]) -> tuple[float, float] | None:
+        """The load report of an answer, if it carries one that can be read."""
+        told = {}
+        for part in headers.get("endpoint-load-metrics", "").split(","):
+            name, _, value = part.partition("=")
+            if name.strip() in self.fields and (number := _number(value)) is not None:
+                told[name.strip()] = number
+        return (told.get("x0", 0.0), told.get("x1", 0.0)) if "x0" in told or "x1" in told else None
+
+
+def _number(text: str) -> float | None:
+    """A finite number that is not negative, or None."""
+    try:
+        value = float(text)
+    except ValueError:
+        return None
+    return value if 0 <= value < float("inf") else None
+
+
+class Call:
+    """One dispatch. It owns its connection while it runs, and ends each of its items once."""
+
+    def __init__(self, backend: Backend, order: Order, requests: list[Request]) -> None:
+        self._b, self.server = backend, order.server
+        self._requests = {r.id: r for r in requests}
+        self.items = {item.request: item for item in order.items}   # without an outcome yet
+        self._given_up: set[str] = set()
+        self._began = backend.clock()
+        self._sent = False   # whether the last byte is written
+        self._connection: Connection | None = None
+        self._limits = {i.request: i.limit for i in order.items}
+        self._timers = {i.request: backend.wheel.after(i.limit, lambda r=i.request: self._late(r))
+                        for i in order.items}
+
+    # --- Ends.
+
+    def _end(self, request: str, how: str, **more) -> None:
+        item = self.items.pop(request, None)
+        if item is not None:
+            self._timers.pop(request).cancel()
+            self._b.desk.ended(self.server, item, how, self._b.clock() - self._began, **more)
+
+    def _give_up(self, request: str, how: str) -> None:
+        if request not in self.items:
+            return
+        self._end(request, how)
+        self._given_up.add(request)
+        if not self.items and self._connection is not None:
+            self._connection.stream.close()   # the one way to take a call back; it frees the slot
+
+    def cancel(self, request: str) -> None:
+        """Stop waiting for one item."""
+        self._give_up(request, CANCELLED if self._sent else NOT_SENT)
+
+    def _late(self, request: str) -> None:
+        self._give_up(request, TIMED_OUT if self._sent else NOT_CONNECTED)
+
+    # --- The call.
+
+    async def run(self) -> None:
+        """Carry the call out. Whatever happens, every item ends and the connection goes back."""
+        reusable, how = False, None
+        try:
+            if self.items:
+                reusable = await self._exchange()
+        except PoolFull:
+            how = NOT_SENT
+        except (StreamClosedError, OSError):
+            pass   # by the other side, or by giving up
+        except http.BadAnswer as bad:
+            log.warning("backend server %s: %s", self.server, bad)
+            how = ERROR
+        finally:
+            for request in list(self.items):
+                self._end(request, how or (RESET if self._sent else NOT_CONNECTED))
+            if self._connection is not None:
+                pool = self._b.pool
+                (pool.give_back if reusable else pool.discard)(self._connection)
+
+    async def _exchange(self) -> bool:
+        b, dial = self._b, self._b.table.rows[self.server].dial
+        self._connection = b.pool.take(self.server, dial)
+        if self._connection is None:
+            self._connection = b.pool.open(self.server, dial)
+            stream = self._connection.stream
+            timer = b.wheel.after(b.connect_timeout, stream.close)
+            try:
+                await stream.connect(dial)
+            finally:
+                timer.cancel()
+        stream, size = self._connection.stream, 0
+        for request, item in list(self.items.items()):
+            # Danger: while the connection came up a wait, a drain or an end may have been told.
+            size += len(self._requests[request].body) * 4 // 3 + 200
+            if size > MOST_BODY + 400 and len(self._requests) > 1 or not b.desk.may_go(self.server, item):
+                self._end(request, NOT_SENT)
+        if not self.items:
+            return self._connection.first is None and not stream.closed()
+        await stream.write(self._encode())
+        self._sent = True
+        return await self._answer()
+
+    def _encode(self) -> bytes:
+        waited = self._b.clock() - self._began
+        left = max(self._limits[r] for r in self.items) - waited
+        headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
+        host = "%s:%d" % self._connection.dial
+        requests = [self._requests[r] for r in self.items]
+        if len(requests) == 1:
+            headers["X-Trace-Id"] = requests[0].id
+            return http.request("POST", "/v1/messages", host, headers, requests[0].body)
+        headers["Content-Type"] = "application/json"
+        body = json.dumps([{"id": r.id, "key": r.key, "body": base64.b64encode(r.body).decode()}
+                           for r in requests], separators=(",", ":")).encode()
+        return http.request("POST", "/v1/messages:batch", host, headers, body)
+
+    async def _answer(self) -> bool:
+        parser, connection = http.AnswerParser(MOST_BODY), self._connection
+        batch = len(self.items) > 1
+        head, body, timer = None, b"", None
+        try:
+            while not parser.whole:
+                read = connection.first or connection.stream.read_bytes(BUFFER, partial=True)
+                connection.first = None
+                try:
+                    data = await read
+                except StreamClosedError:
+                    parts = parser.eof()
+                    if not parts:
+                        raise
+                else:
+                    parts = parser.feed(data)
+                for part in parts:
+                    if isinstance(part, http.Head):
+                        head = part
+                        if not (batch and head.status == 200):
+                            self._judge(head)
+                            # The outcome is known: the rest matters only to the connection.
+                            timer = self._b.wheel.after(REST_OF_ANSWER, connection.stream.close)
+                    elif isinstance(part, http.Body):
+                        body += part.data
+                    elif isinstance(part, http.Whole):
+                        if batch and head.status == 200:
+                            self._judge_batch(head, body)
+                        return part.keep
+        finally:
+            if timer is not None:
+                timer.cancel()
+        return False
+
+    def _said(self, head: http.Head) -> dict:
+        """What every answer may tell besides its outcome: a wait and a load report."""
+        wait = _number(head.headers.get("retry-after", "")) or 0.0
+        if wait:
+            self._b.table.told_wait(self.server, self._b.clock() + wait)
+        return {"wait": wait, "load": self._b.load(head.headers)}
+
+    def _judge(self, head: http.Head) -> None:
+        """The protocol's table: one answer, and the outcome of every item in the call."""
+        more = self._said(head)
+        match head.status:
+            case 200:
+                how = DELIVERED
+            case 429:
+                how = TURNED_AWAY
+            case 503:
+                how = NOT_SENT if head.headers.get("x-line-busy") == "1" else TURNED_AWAY
+            case 410:
+                how, more["over"] = NOT_SENT, True
+            case 504:
+                how, more["over"], more["owed"] = NOT_SENT, True, True
+            case 400 | 413:
+                how = NOT_SENT
+                log.error("backend server %s could not read a call: %d", self.server, head.status)
+            case _:
+                how = ERROR
+        for request in list(self.items):
+            self._end(request, how, **more)
+
+    def _judge_batch(self, head: http.Head, body: bytes) -> None:
+        more, states = self._said(head), {}
+        try:
+            for line in json.loads(body):
+                states[line["id"]] = line["state"]
+        except (ValueError, TypeError, KeyError) as bad:
+            log.warning("backend server %s: batch answer: %s", self.server, bad)
+        for request in list(self.items):
+            state = states.get(request)
+            # An item without a state that can be read may have run.
+            self._end(request, STATES.get(state, ERROR) if isinstance(state, str) else ERROR,
+                      **more, over=state in ("void", "used_up"), owed=state == "used_up")
+        for request in self._given_up:
+            if states.get(request) == "done":
+                self._b.desk.delivered_late(request)
--- /dev/null
+++ b/linkdock/protocol/notices.py
@@ -0,0 +1,99 @@
+"""Notices to the platform: how a request that was taken on and not delivered has ended."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import socket
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from ..state.wheel import Wheel
+from . import http
+
+log = logging.getLogger(__name__)
+
+ANSWER = 1.0        # seconds for one reply, which is due at once
+PAUSE = 0.1         # first pause after a failure; it doubles
+MOST_PAUSE = 0.8
+MOST_BODY = 48 * 1024
+
+
+class Notices:
+    """Owner of the notices that the platform has not confirmed. They are posted until it has."""
+
+    def __init__(self, dial: tuple[str, int], wheel: Wheel, pause: Callable,
+                 confirmed: Callable[[str], None]) -> None:
+        self._dial, self._wheel, self._pause, self._confirmed = dial, wheel, pause, confirmed
+        self._owed: dict[str, bytes] = {}
+        self._stream: IOStream | None = None
+        self._news = asyncio.Event()
+        self._alone = False   # after a 400: one at a time, so that one bad notice cannot hold up the rest
+
+    def __len__(self) -> int:
+        return len(self._owed)
+
+    def post(self, notice: dict) -> None:
+        self._owed[notice["id"]] = json.dumps(notice, separators=(",", ":")).encode() + b"\n"
+        self._news.set()
+
+    async def run(self) -> None:
+        pause = PAUSE
+        while True:
+            if not self._owed:
+                self._news.clear()
+                await self._news.wait()   # without a deadline: it waits for this process alone
+            batch, size = [], 0
+            for request, line in self._owed.items():
+                size += len(line)
+                if batch and (size > MOST_BODY or self._alone):
+                    break
+                batch.append(request)
+            try:
+                status = await self._send(b"".join(self._owed[r] for r in batch))
+            except (StreamClosedError, OSError, http.BadAnswer) as bad:
+                status = 0
+                log.info("notices: not confirmed: %s", bad)
+            if status == 204:
+                pause = PAUSE
+                for request in batch:
+                    self._end(request)
+                continue
+            self.close()
+            if status == 400 and self._alone:
+                log.error("notices: the platform cannot read %r", self._owed[batch[0]])
+                self._end(batch[0])
+            self._alone = status == 400
+            await self._pause(pause)
+            pause = min(MOST_PAUSE, pause * 2)
+
+    def _end(self, request: str) -> None:
+        del self._owed[request]
+        self._confirmed(request)
+
+    async def _send(self, body: bytes) -> int:
+        fresh = self._stream is None or self._stream.closed()
+        if fresh:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self._stream = IOStream(sock, max_buffer_size=1 << 17)
+        stream, parser, status = self._stream, http.AnswerParser(), 0
+        timer = self._wheel.after(ANSWER, stream.close)
+        try:
+            if fresh:
+                await stream.connect(self._dial)
+            await stream.write(http.request("POST", "/reports", "%s:%d" % self._dial, None, body))
+            while not parser.whole:
+                for part in parser.feed(await stream.read_bytes(65536, partial=True)):
+                    if isinstance(part, http.Head):
+                        status = part.status
+                    if isinstance(part, http.Whole) and not part.keep:
+                        stream.close()
+            return status
+        finally:
+            timer.cancel()
+
+    def close(self) -> None:
+        if self._stream is not None:
+            self._stream.close()
--- /dev/null
+++ b/linkdock/protocol/resp.py
@@ -0,0 +1,105 @@
+"""RESP2 as a server reads and writes it: an incremental parser of commands, and replies."""
+
+from __future__ import annotations
+
+MOST_COMMAND = 64 * 1024   # bytes of all words of one command
+MOST_WORDS = 64
+MOST_LINE = 32
+
+
+class Malformed(ValueError):
+    """The bytes are no command. What follows them cannot be read either."""
+
+
+class Oversize(ValueError):
+    """A command that is too long. It was skipped, and the next one can be read."""
+
+
+class CommandParser:
+    """Feed it bytes; `next` gives a whole command as a list of words, or None until more bytes come."""
+
+    def __init__(self) -> None:
+        self._data = bytearray()
+        self._at = 0
+        self._missing = 0            # words of the command being read
+        self._words: list[bytes] = []
+        self._size = 0
+        self._skip = 0               # bytes of an oversize word still to pass over
+
+    def feed(self, data: bytes) -> None:
+        self._data += data
+
+    @property
+    def partial(self) -> bool:
+        """Whether a command has begun that is not whole yet."""
+        return bool(self._data) or self._missing > 0
+
+    def next(self) -> list[bytes] | None:
+        try:
+            return self._next()
+        finally:
+            del self._data[:self._at]
+            self._at = 0
+
+    def _next(self) -> list[bytes] | None:
+        while not self._missing:
+            count = self._number(b"*")
+            if count is None:
+                return None
+            if count > MOST_WORDS:
+                raise Malformed("too many words")
+            self._missing, self._words, self._size = max(count, 0), [], 0
+        while self._missing:
+            if not self._skip:
+                mark = self._at
+                length = self._number(b"$")
+                if length is None:
+                    return None
+                if length < 0:
+                    raise Malformed("a word without length")
+                self._size += length
+                if self._size <= MOST_COMMAND:
+                    end = self._at + length
+                    if len(self._data) < end + 2:
+                        self._at, self._size = mark, self._size - length
+                        return None
+                    if self._data[end:end + 2] != b"\r\n":
+                        raise Malformed("a word does not end where it should")
+                    self._words.append(bytes(self._data[self._at:end]))
+                    self._at = end + 2
+                    self._missing -= 1
+                    continue
+                self._skip = length + 2
+            # Danger: an oversize command must cost no more memory than a lawful one.
+            passed = min(self._skip, len(self._data) - self._at)
+            self._at += passed
+            self._skip -= passed
+            if self._skip:
+                return None
+            self._missing -= 1
+        if self._size > MOST_COMMAND:
+            raise Oversize("the command is longer than 64 KiB")
+        return self._words
+
+    def _number(self, mark: bytes) -> int | None:
+        end = self._data.find(b"\r\n", self._at, self._at + MOST_LINE)
+        start = bytes(self._data[self._at:self._at + 1])
+        if start and start != mark:
+            raise Malformed(f"expected {mark.decode()!r}")
+        if end < 0:
+            if len(self._data) - self._at >= MOST_LINE:
+                raise Malformed("a length without end")
+            return None
+        digits = bytes(self._data[self._at + 1:end])
+        if not digits.removeprefix(b"-").isdigit():
+            raise Malformed("a length that is no number")
+        self._at = end + 2
+        return int(digits)
+
+
+def simple(text: str) -> bytes:
+    return b"+" + text.encode() + b"\r\n"
+
+
+def error(text: str) -> bytes:
+    return b"-" + text.replace("\r", " ").replace("\n", " ").encode() + b"\r\n"
--- /dev/null
+++ b/linkdock/sender.py
@@ -0,0 +1,242 @@
+"""The life of a request: handed in, decided on, dispatched, ended. Any front may hand requests in."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+
+from .facade import (
+    DELIVERED,
+    NEVER_RAN,
+    Cancel,
+    Deny,
+    Dispatch,
+    Drop,
+    End,
+    Facade,
+    Item,
+    Remark,
+    Retire,
+    Server,
+    Table,
+    Take,
+    Withdraw,
+)
+from .protocol.calls import Backend, Call
+from .protocol.frontend import Busy, Failed, Refused, Taken
+from .protocol.notices import Notices
+from .service.config import Config
+from .state.journal import Journal, Kept
+from .state.requests import Request, Requests
+from .state.table import ServerTable
+
+log = logging.getLogger(__name__)
+
+
+class Sender:
+    """The desk between fronts, decisions and calls. It owns the requests and runs the decisions' ticks."""
+
+    def __init__(self, config: Config, clock: Callable[[], float], spawn: Callable, facade: Facade,
+                 journal: Journal, table: ServerTable) -> None:
+        self._config, self._clock, self._spawn = config, clock, spawn
+        self._facade, self._journal, self._table = facade, journal, table
+        self._requests = Requests(config.settings.max_open)
+        self._asking: dict[str, Request] = {}      # not answered yet
+        self._calls: dict[tuple[str, int], Call] = {}
+        self._unsafe_until: float | None = None    # set while stopping
+        self.backend: Backend
+        self.notices: Notices
+
+    # --- What comes in.
+
+    def ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
+        """A front hands in a request, which is answered at the next tick at the latest."""
+        if cls not in self._config.classes:
+            raise Refused("unknown class")
+        if not self._table.knows(destination):
+            raise Refused("unknown destination")
+        known = self._requests.get(request.id)
+        if known is not None:
+            # The client came again over a new connection: what is owed is owed once.
+            if known.answer is not None:
+                raise Refused("this id is being handed in already")
+            request.answer(Taken())
+            return
+        if self._requests.full():
+            request.answer(Busy(self._facade.advice(destination)))
+            return
+        now = self._clock()
+        request.cls, request.until = self._config.classes[cls], now + left
+        self._requests.add(request)
+        self._asking[request.id] = request
+        self._facade.report(Take(request.id, request.cls, destination, left, self._order_key(request),
+                                 again, held))
+
+    def _order_key(self, request: Request) -> int:
+        if not self._config.settings.classes[request.cls].in_order:
+            return 0
+        try:
+            return int(request.key, 16)
+        except ValueError:
+            raise Refused("the key is not hexadecimal") from None
+
+    def news(self, whole: bool, servers: list[Server], version: int) -> None:
+        """Discovery has told of changes, or the whole list."""
+        self._table.update(whole, servers, version)
+        self._facade.report(Table("whole" if whole else "changes", servers, version))
+
+    def restore(self) -> None:
+        """Take up what an earlier life of this sender took on."""
+        now, unix = self._clock(), time.time()
+        for kept in list(self._journal.kept.values()):
+            if kept.notice is not None:
+                self.notices.post(kept.notice)
+                continue
+            cls = self._config.classes.get(kept.cls)
+            safe = cls is not None and self._config.repeatable(cls)
+            if cls is None or kept.doubt and not safe:
+                # It may have run and may not be repeated: nobody can know more, so that it ends now.
+                self._owe_notice(kept.id, {"id": kept.id, "status": "undeliverable"})
+                continue
+            left = max(0.0, kept.until - unix)
+            request = Request(kept.id, kept.key, cls, kept.destination, now + left, kept.body)
+            self._requests.add(request)
+            self._facade.report(Take(kept.id, cls, kept.destination, left, self._order_key(request),
+                                     held=True, used=kept.used))
+
+    # --- Ticks.
+
+    def beat(self) -> None:
+        """Run a decision pass if there is anything to decide, and carry out what it orders."""
+        now = self._clock()
+        if not self._facade.due(now):
+            return
+        self._facade.tick(now)
+        orders = list(iter(self._facade.pick, None))
+        finals = {order.request: order for order in orders if isinstance(order, (Deny, Drop))}
+        # Clients hear first: a dispatch counts only if its client knows that the request was taken.
+        asking, self._asking = self._asking, {}
+        for request in asking.values():
+            self._answer(request, finals.pop(request.id, None))
+        for order in orders:
+            match order:
+                case Dispatch():
+                    self._dispatch(order, now)
+                case Deny(request, wait) if request in finals:
+                    notice = {"id": request, "status": "deferred"}
+                    if wait > 0:
+                        notice["again_ms"] = max(1, round(wait * 1000))
+                    self._finish(request, notice)
+                case Drop(request) if request in finals:
+                    self._finish(request, {"id": request, "status": "undeliverable"})
+                case Cancel(request, attempt):
+                    call = self._calls.get((request, attempt))
+                    if call is not None:
+                        call.cancel(request)
+                case Retire(server):
+                    self.backend.pool.retire(server)
+                case Remark(text):
+                    log.info("%s", text)
+
+    def _answer(self, request: Request, final: Deny | Drop | None) -> None:
+        """Answer a client, on record first. What is not taken on is forgotten."""
+        answer, request.answer = request.answer, None
+        if final is not None:
+            self._requests.remove(request.id)
+            answer(Busy(final.wait) if isinstance(final, Deny) else Failed("not delivered"))
+            return
+        left = request.until - self._clock()
+        kept = Kept(request.id, request.key, self._config.class_names[request.cls], request.destination,
+                    time.time() + left, request.body)
+        if not self._journal.take(kept):
+            self._requests.remove(request.id)
+            self._facade.report(Withdraw(request.id))
+            answer(Busy(self._facade.advice(request.destination)))
+        elif not answer(Taken()):
+            # Its client left unanswered and may hand it in again: nothing is owed, and nothing may be sent.
+            self._journal.end(request.id)
+            self._requests.remove(request.id)
+            self._facade.report(Withdraw(request.id))
+
+    def _dispatch(self, order: Dispatch, now: float) -> None:
+        items, requests = [], []
+        for item in order.items:
+            request = self._requests.get(item.request)
+            if request is None or self._held_back(request, now):
+                self.ended(order.server, item, "not sent", 0.0)
+                continue
+            left = request.until - now
+            items.append(item._replace(limit=min(item.limit or left, left)))
+            requests.append(request)
+        if items:
+            call = Call(self.backend, Dispatch(order.server, items), requests)
+            self._calls.update(((item.request, item.attempt), call) for item in items)
+            self._spawn(call.run())
+
+    def _held_back(self, request: Request, now: float) -> bool:
+        """While stopping, what may not be repeated and might not finish waits in the journal."""
+        if self._unsafe_until is None or now < self._unsafe_until or self._config.repeatable(request.cls):
+            return False
+        self._requests.remove(request.id)
+        self._facade.report(Withdraw(request.id))
+        return True
+
+    # --- What calls say (protocol.calls.Desk).
+
+    def may_go(self, server: str, item: Item) -> bool:
+        """The last look before the first byte goes out, and the record that it does."""
+        now, request = self._clock(), self._requests.get(item.request)
+        if request is None or request.until <= now or self._held_back(request, now):
+            return False
+        closed = self._table.closed(server, now)
+        if closed is not None:
+            log.info("dispatch of %s not sent: %s %s", item.request, server, closed)
+            return False
+        return self._journal.sent(item.request, item.attempt)
+
+    def ended(self, server: str, item: Item, how: str, elapsed: float, wait: float = 0.0,
+              load: tuple[float, float] | None = None, over: bool = False, owed: bool = False) -> None:
+        """A dispatch has its outcome: on record what matters for the next life, then for the decisions."""
+        self._calls.pop((item.request, item.attempt), None)
+        if how in NEVER_RAN:
+            self._journal.never(item.request, item.attempt)
+        self._facade.report(End(item.request, item.attempt, server, how, elapsed, wait, load, over))
+        if owed:
+            self._finish(item.request, {"id": item.request, "status": "undeliverable"})
+        elif over or how == DELIVERED:
+            self._finish(item.request, None)
+
+    def delivered_late(self, request: str) -> None:
+        if self._requests.get(request) is not None:
+            self._facade.report(Withdraw(request))
+            self._finish(request, None)
+
+    # --- Ends.
+
+    def _finish(self, request: str, notice: dict | None) -> None:
+        """The one place where a taken request ends: with a notice that is owed, or with nothing."""
+        if self._requests.get(request) is None:
+            return
+        self._requests.remove(request)
+        if notice is None:
+            self._journal.end(request)
+        else:
+            self._owe_notice(request, notice)
+
+    def _owe_notice(self, request: str, notice: dict) -> None:
+        self._journal.notice(request, notice)
+        self.notices.post(notice)
+
+    def confirmed(self, request: str) -> None:
+        """The platform has heard how a request ended."""
+        self._journal.end(request)
+
+    # --- Stopping.
+
+    def stop_unsafe(self, at: float) -> None:
+        """From then on start nothing that may not be repeated."""
+        self._unsafe_until = at
+
+    def calling(self) -> int:
+        return len(set(self._calls.values()))
--- /dev/null
+++ b/linkdock/service/__init__.py
@@ -0,0 +1,1 @@
+"""Start and stop: configuration, start-up, SIGTERM."""
--- /dev/null
+++ b/linkdock/service/config.py
@@ -0,0 +1,197 @@
+"""The one place where configuration is read, checked and given defaults. Errors name the faulty key."""
+
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..interface import DestinationKind, Effect, MessageClass, Settings
+
+_MISSING = object()
+EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
+
+
+class ConfigError(ValueError):
+    """A key that is missing or cannot be right."""
+
+
+@dataclass(frozen=True)
+class Config:
+    """All that a sender is told, checked."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    state: Path
+    seed: int
+    memory_mb: float
+    sockets: int
+    disk_mb: float
+    known: dict
+    settings: Settings
+    class_names: list[str]
+    zones: list[str]
+    kinds: list[str]
+    fields: list[str]
+
+    @property
+    def classes(self) -> dict[str, int]:
+        return {name: n for n, name in enumerate(self.class_names)}
+
+    def repeatable(self, cls: int) -> bool:
+        return self.settings.classes[cls].effect is Effect.SAFE
+
+    @property
+    def most_clients(self) -> int:
+        """A third of the sockets, and no more buffers than a third of the memory holds."""
+        return max(8, min(self.sockets // 3, int(self.memory_mb * 1e6 / 3) // (2 * 128 * 1024)))
+
+    @property
+    def most_backends(self) -> int:
+        """A third of the sockets; the last third is for what else a process opens."""
+        return max(self.settings.slots, self.sockets // 3)
+
+
+class _Reader:
+    """Reads one object's keys and names them in full when they are wrong."""
+
+    def __init__(self, told: object, path: str) -> None:
+        if not isinstance(told, dict):
+            raise ConfigError(f"{path or 'the configuration'} must be an object")
+        self._told, self._path = told, path
+
+    def name(self, key: str) -> str:
+        return f"{self._path}.{key}" if self._path else key
+
+    def get(self, key: str, kind: type, default: object = _MISSING):
+        value = self._told.get(key, default)
+        if value is _MISSING:
+            raise ConfigError(f"{self.name(key)} is missing")
+        if value is default:
+            return value
+        fits = isinstance(value, (int, float) if kind is float else kind)
+        if not fits or isinstance(value, bool) and kind is not bool:
+            raise ConfigError(f"{self.name(key)} must be {_KINDS[kind]}, not {value!r}")
+        return kind(value)
+
+    def number(self, key: str, default: object = _MISSING, least: float = 0.0) -> float:
+        return self._at_least(key, self.get(key, float, default), least)
+
+    def count(self, key: str, default: object = _MISSING, least: int = 0) -> int:
+        return self._at_least(key, self.get(key, int, default), least)
+
+    def _at_least(self, key: str, value, least):
+        if not value >= least:
+            raise ConfigError(f"{self.name(key)} must be at least {least}, not {value!r}")
+        return value
+
+    def choice(self, key: str, choices: Mapping[str, object]):
+        value = self.get(key, str)
+        if value not in choices:
+            raise ConfigError(f"{self.name(key)} must be one of {', '.join(choices)}, not {value!r}")
+        return choices[value]
+
+    def part(self, key: str, default: object = _MISSING) -> _Reader:
+        return _Reader(self.get(key, dict, default), self.name(key))
+
+    def parts(self, key: str, default: object = _MISSING) -> list[_Reader]:
+        told = self.get(key, list, default)
+        return [_Reader(one, f"{self.name(key)}[{n}]") for n, one in enumerate(told)]
+
+    def address(self, key: str) -> tuple[str, int]:
+        value = self.get(key, str)
+        host, _, port = value.rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65535:
+            raise ConfigError(f"{self.name(key)} must be an address with a port, not {value!r}")
+        return host, int(port)
+
+
+_KINDS = {float: "a number", int: "a whole number", str: "a string", bool: "true or false", list: "a list",
+          dict: "an object"}
+
+
+def load(environ: Mapping[str, str] = os.environ) -> Config:
+    """Read the file that RELAY_CONFIG names; the other variables stand in for what it may lack."""
+    path = environ.get("RELAY_CONFIG")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as bad:
+        raise ConfigError(f"RELAY_CONFIG: {path}: {bad}") from None
+    if not environ.get("RELAY_STATE"):
+        raise ConfigError("RELAY_STATE is not set")
+    if isinstance(told, dict):
+        for key in ("name", "listen", "discovery"):
+            variable = f"RELAY_{key.upper()}"
+            if variable in environ:
+                told.setdefault(key, environ[variable])
+    return check(told, Path(environ["RELAY_STATE"]))
+
+
+def check(told: object, state: Path) -> Config:
+    """The configuration from its JSON."""
+    top = _Reader(told, "")
+    limits, settings = top.part("limits", {}), top.part("settings")
+    seed = top.get("seed", str)
+    try:
+        number = int(seed, 16)
+    except ValueError:
+        raise ConfigError(f"seed must be hexadecimal, not {seed!r}") from None
+    return Config(
+        name=top.get("name", str), listen=top.address("listen"), discovery=top.address("discovery"),
+        state=state, seed=number, memory_mb=limits.number("memory_mb", 192.0, 32.0),
+        sockets=limits.count("sockets", 1024, 64), disk_mb=limits.number("disk_mb", 3.0, 0.01),
+        known=top.get("known", dict, {}), settings=_settings(settings),
+        class_names=[c.get("name", str) for c in settings.parts("grades")],
+        zones=settings.get("zones", list, []), kinds=settings.get("machine-types", list, []),
+        fields=settings.part("report", {}).get("fields", list, []))
+
+
+def _settings(told: _Reader) -> Settings:
+    limits, extra, rules = told.part("limits"), told.part("extra"), told.part("rules")
+    tariffs = told.part("tariffs", {})
+    classes = [MessageClass(
+        effect=g.choice("idempotency", EFFECTS), aim=g.number("aim"), deadline=g.number("hard-limit"),
+        worth=g.number("importance", 1.0), late_share=g.number("late-share", 0.0),
+        in_order=g.get("keep-order", bool, False), window=g.number("window", 0.0),
+        group=g.get("group", str, "all")) for g in told.parts("grades")]
+    if not classes:
+        raise ConfigError(f"{told.name('grades')} must not be empty")
+    apart, batch = extra.get("separate-routes", list, []), extra.get("bundle-max", list, [])
+    for n, most in enumerate(batch):
+        if not isinstance(most, int) or most < 1:
+            where = f"{extra.name('bundle-max')}[{n}]"
+            raise ConfigError(f"{where} must be a whole number of at least 1, not {most!r}")
+    count = max(len(apart), len(batch), len(told.get("machine-types", list, [])), 1)
+    kinds = [DestinationKind(bool(apart[k]) if k < len(apart) else False, batch[k] if k < len(batch) else 1)
+             for k in range(count)]
+    weights, subscribe = told.get("weights", str, "silent"), told.get("discovery", str, "") == "subscribe"
+    relays, me = told.count("balancers", 1, 1), told.count("me", 0)
+    if me >= relays:
+        raise ConfigError(f"{told.name('me')} must be below {told.name('balancers')}, not {me}")
+    return Settings(
+        classes=classes, kinds=kinds, slots=extra.count("calls-out", least=1),
+        max_open=limits.count("max-open", least=1), max_attempts=limits.count("max-attempts", least=1),
+        relays=relays, me=me, tick=told.number("tick", 0.005, 0.001),
+        connect_timeout=limits.number("connect-timeout", 1.0, 0.01),
+        idle_close=limits.number("idle-close", 5.0, 0.1),
+        max_retry_after=limits.number("max-retry-after", 0.0),
+        retry_after=limits.get("retry-after", bool, False), cancel=limits.get("cancel", bool, False),
+        probes=False,   # no probe is spoken on sockets
+        second_copies=limits.get("second-copies", bool, False),
+        subscribe=False,   # the watch is this program's own, and asks by itself
+        ask_within=rules.number("ask-within", 10.0) if subscribe else 10.0,
+        halves=extra.get("loses-worth", str, "even") == "by_half", rough_weights=weights != "nominal",
+        told_weights=weights in ("nominal", "rough"),
+        tenant_quota=[p.number("quota-per-s", 0.0) for p in told.parts("projects", [])],
+        over_share_worth=told.number("over-share-worth", 1.0),
+        zone_fee=[float(fee) for fee in extra.get("zone-fee", list, [])],
+        handshake_price=tariffs.number("handshake", 0.0), refusal_price=extra.number("refusal-cost", 0.0),
+        drain_grace=rules.number("drain-grace", 0.0), fall_multiple=rules.number("fall-multiple", 1.0),
+        tip_after=rules.number("tip-after", 1.0), cold_share=rules.number("cold-share", 1.0),
+        cold_time=rules.number("cold", 0.0), order_rest=rules.number("settle-after-doubt", 0.0),
+        answer_slack=rules.number("answer-slack", 0.0))
--- /dev/null
+++ b/linkdock/service/run.py
@@ -0,0 +1,130 @@
+"""Start-up, the loop's beat, and the planned end."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from collections.abc import Coroutine
+
+from ..facade import Facade, Table
+from ..protocol.calls import Backend
+from ..protocol.discovery import Watch, read_news
+from ..protocol.frontend import Frontend
+from ..protocol.notices import Notices
+from ..sender import Sender
+from ..state.journal import Journal
+from ..state.pool import ConnectionPool
+from ..state.table import ServerTable
+from ..state.wheel import Wheel
+from .config import Config, ConfigError, load
+
+log = logging.getLogger(__name__)
+
+IDLE_MARGIN = 0.75      # seconds before the other side's idle-close at which a connection is retired
+ACCEPT_FOR = 0.5        # seconds after SIGTERM in which new connections may still come: up to 0.4
+NO_UNSAFE_AFTER = 1.7   # seconds after SIGTERM from which what may not be repeated is not started
+LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
+
+
+class Process:
+    """One running sender: its parts, its beat and its tasks."""
+
+    def __init__(self, config: Config) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._tasks: set[asyncio.Task] = set()
+        self._failed: BaseException | None = None
+        self._stop = asyncio.Event()
+        settings, clock = config.settings, self._loop.time
+        self._config = config
+        self._wheel = Wheel(settings.tick, clock())
+        self._journal = Journal(config.state, int(config.disk_mb * 1e6))
+        table = ServerTable(kind.apart for kind in settings.kinds)
+        facade = Facade(settings, config.seed)
+        if config.known:
+            _, servers, version = read_news(config.known, config.zones, config.kinds)
+            table.update(True, servers, version)
+            facade.report(Table("kept", servers, version))
+        self.sender = Sender(config, clock, self.spawn, facade, self._journal, table)
+        idle_for = max(settings.idle_close - IDLE_MARGIN, settings.idle_close / 2)
+        self._pool = ConnectionPool(self._wheel, idle_for, config.most_backends)
+        self.sender.backend = Backend(self.sender, table, self._pool, self._wheel, clock,
+                                      settings.connect_timeout, config.fields)
+        self._notices = self.sender.notices = Notices(config.discovery, self._wheel, self.pause,
+                                                      self.sender.confirmed)
+        self._watch = Watch(config.discovery, self._wheel, self.pause, config.zones, config.kinds,
+                            lambda: table.version, self.sender.news)
+        self.sender.restore()
+        self.spawn(self._notices.run())
+        self.spawn(self._watch.run())
+        self.frontend = Frontend(self.sender, config.listen, self._wheel, self.spawn, config.most_clients)
+        self._beat()
+
+    def spawn(self, work: Coroutine) -> None:
+        """Run a coroutine. One that fails ends the process: its work would be lost unseen."""
+        task = self._loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a task failed", exc_info=task.exception())
+            self._failed = self._failed or task.exception()
+            self._stop.set()
+
+    async def pause(self, seconds: float) -> None:
+        done = self._loop.create_future()
+        self._wheel.after(seconds, lambda: done.done() or done.set_result(None))
+        await done
+
+    def _beat(self) -> None:
+        """Once a tick: timers, then decisions."""
+        self._loop.call_at(self._loop.time() + self._wheel.tick, self._beat)
+        try:
+            self._wheel.advance(self._loop.time())
+            self.sender.beat()
+        except Exception as bad:
+            log.exception("a tick failed")
+            self._failed = self._failed or bad
+            self._stop.set()
+
+    # --- The end.
+
+    def stop(self) -> None:
+        """SIGTERM: finish what can be finished, leave the rest to the journal."""
+        log.info("stopping")
+        now = self._loop.time()
+        self.sender.stop_unsafe(now + NO_UNSAFE_AFTER)
+        self._wheel.after(ACCEPT_FOR, self.frontend.stop_accepting)
+        self._wheel.after(LEAVE_AFTER, self._stop.set)
+
+    async def run(self) -> int:
+        self._loop.add_signal_handler(signal.SIGTERM, self.stop)
+        self._loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        log.info("%s listens on %s:%d", self._config.name, self._config.listen[0], self.frontend.port)
+        await self._stop.wait()
+        for part in (self.frontend, self._watch, self._notices, self._pool):
+            part.close()
+        self._journal.close()
+        if self._failed is not None:
+            log.error("stopped by a failure: %r", self._failed)
+            return 1
+        return 0
+
+
+def main() -> int:
+    """Run one sender until it is told to stop."""
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO,
+                        format="%(asctime)s %(name)s %(levelname)s %(message)s")
+    try:
+        config = load()
+    except ConfigError as bad:
+        print(f"linkdock: {bad}", file=sys.stderr)
+        return 2
+    return asyncio.run(_run(config))
+
+
+async def _run(config: Config) -> int:
+    return await Process(config).run()
--- /dev/null
+++ b/linkdock/state/journal.py
@@ -0,0 +1,179 @@
+"""What was taken on, kept in one file so that it outlasts the process.
+
+Records are appended with one write each and never synced: what was written outlives the process, SIGKILL
+included. A record is its length, its check sum, a kind and a JSON head, and for a take the message's body.
+A record torn by the end of the process is cut off at the next start. The file is rewritten with only what is
+still owed before it grows near the limit of the folder; old and new file count together meanwhile.
+"""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import struct
+import zlib
+from dataclasses import dataclass, field
+from pathlib import Path
+
+log = logging.getLogger(__name__)
+
+TAKE, SENT, NEVER, NOTICE, END = b"T", b"S", b"N", b"O", b"E"
+HEAD = struct.Struct("<IIcH")   # length and check sum of what follows, kind, length of the JSON head
+BLOCK = 512                     # the folder is counted in whole blocks
+FILE_PART = 0.55                # of the folder that the file may take; the rest is for its successor,
+LIVE_PART = 0.35                # which holds what is owed; a take beyond this is denied
+MOST_RECORD = 1 << 20
+
+
+@dataclass(slots=True)
+class Kept:
+    """What the journal holds of one request. `doubt` are the dispatches not proven to have never run."""
+
+    id: str
+    key: str
+    cls: str
+    destination: int
+    until: float   # Unix time
+    body: bytes
+    used: int = 0
+    doubt: set[int] = field(default_factory=set)
+    notice: dict | None = None
+
+    def size(self) -> int:
+        return len(self.body) + 256
+
+
+class Journal:
+    """Owner of the file and of the record of each request in it, from `take` to `end`."""
+
+    def __init__(self, folder: Path, disk_bytes: int) -> None:
+        self._path, self._next = folder / "journal", folder / "journal.new"
+        self._most_file = int(disk_bytes * FILE_PART) // BLOCK * BLOCK
+        self._most_live = int(disk_bytes * LIVE_PART) // BLOCK * BLOCK
+        self.kept: dict[str, Kept] = {}
+        self._live = 0
+        # A rewrite that the end of the process cut short: the old file still holds everything.
+        self._next.unlink(missing_ok=True)
+        self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        self._size = self._load()
+
+    # --- Reading.
+
+    def _load(self) -> int:
+        data = self._path.read_bytes()
+        at = 0
+        while at + HEAD.size <= len(data):
+            length, check, kind, head_size = HEAD.unpack_from(data, at)
+            body = data[at + 8:at + 8 + length]
+            if length > MOST_RECORD or len(body) < length or zlib.crc32(body) != check:
+                break
+            rest = data[at + HEAD.size:at + 8 + length]
+            self._apply(kind, json.loads(rest[:head_size]), rest[head_size:])
+            at += 8 + length
+        if at < len(data):
+            # Danger: a record torn by SIGKILL. What follows it is unreadable, so that new ones must not.
+            log.warning("journal: cut off %d torn bytes", len(data) - at)
+            os.ftruncate(self._file, at)
+        return at
+
+    def _apply(self, kind: bytes, head: dict, body: bytes) -> None:
+        if kind == TAKE:
+            doubt = set(head.pop("doubt", ()))
+            kept = self.kept[head["id"]] = Kept(**head, body=body, doubt=doubt)
+            self._live += kept.size()
+            return
+        kept = self.kept.get(head["id"])
+        if kept is None:
+            return
+        if kind == SENT:
+            kept.used = max(kept.used, head["n"] + 1)
+            kept.doubt.add(head["n"])
+        elif kind == NEVER:
+            kept.doubt.discard(head["n"])
+        elif kind == NOTICE:
+            kept.notice = head["notice"]
+        elif kind == END:
+            self._live -= self.kept.pop(head["id"]).size()
+
+    # --- Writing.
+
+    @staticmethod
+    def _record(kind: bytes, head: dict, body: bytes = b"") -> bytes:
+        text = json.dumps(head, separators=(",", ":")).encode()
+        rest = kind + struct.pack("<H", len(text)) + text + body
+        return struct.pack("<II", len(rest), zlib.crc32(rest)) + rest
+
+    def _take_record(self, kept: Kept) -> bytes:
+        head = {"id": kept.id, "key": kept.key, "cls": kept.cls, "destination": kept.destination,
+                "until": kept.until, "used": kept.used, "doubt": sorted(kept.doubt)}
+        if kept.notice is not None:
+            return self._record(TAKE, {**head, "notice": kept.notice})   # its body is not needed any more
+        return self._record(TAKE, head, kept.body)
+
+    def _append(self, data: bytes) -> bool:
+        if self._size + len(data) > self._most_file:
+            self._compact()
+        if self._size + len(data) > self._most_file:
+            return False
+        try:
+            written = os.write(self._file, data)
+            if written < len(data):
+                raise OSError("short write")
+        except OSError as bad:
+            # Danger: a full folder. Half a record would hide all that follow it.
+            log.error("journal: %s", bad)
+            os.ftruncate(self._file, self._size)
+            return False
+        self._size += written
+        return True
+
+    def _compact(self) -> None:
+        """Rewrite the file with what is owed; the old one stays until the new one is whole."""
+        data = b"".join(map(self._take_record, self.kept.values()))
+        try:
+            with open(self._next, "wb") as file:
+                file.write(data)
+            os.replace(self._next, self._path)
+        except OSError as bad:
+            log.error("journal: not rewritten: %s", bad)
+            self._next.unlink(missing_ok=True)
+            return
+        os.close(self._file)
+        self._file = os.open(self._path, os.O_RDWR | os.O_APPEND)
+        self._size = len(data)
+
+    def take(self, kept: Kept) -> bool:
+        """Keep a request; False where there is no room, and it must be denied."""
+        if self._live + kept.size() > self._most_live or not self._append(self._take_record(kept)):
+            return False
+        self.kept[kept.id] = kept
+        self._live += kept.size()
+        return True
+
+    def _note(self, kind: bytes, head: dict) -> bool:
+        if head["id"] not in self.kept:
+            return False
+        done = self._append(self._record(kind, head))
+        if done or kind == END:   # an end that could not be written is at worst told again
+            self._apply(kind, head, b"")
+        return done
+
+    def sent(self, request: str, attempt: int) -> bool:
+        """A dispatch is about to send its first byte; False where it must not."""
+        return self._note(SENT, {"id": request, "n": attempt})
+
+    def never(self, request: str, attempt: int) -> None:
+        """That dispatch is proven not to have run."""
+        self._note(NEVER, {"id": request, "n": attempt})
+
+    def notice(self, request: str, notice: dict) -> None:
+        """The request is over for the decisions; the platform must still hear of it."""
+        self._note(NOTICE, {"id": request, "notice": notice})
+
+    def end(self, request: str) -> None:
+        """Nothing is owed any more."""
+        self._note(END, {"id": request})
+
+    def close(self) -> None:
+        os.close(self._file)
--- /dev/null
+++ b/linkdock/state/pool.py
@@ -0,0 +1,97 @@
+"""Connections to backend servers: at most so many, idle ones given up before the other side closes them."""
+
+from __future__ import annotations
+
+import socket
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from .wheel import Timer, Wheel
+
+BUFFER = 256 * 1024   # of one connection: an answer holds at most a body of 64 KiB and its head
+
+
+class PoolFull(Exception):
+    """Every connection that this process may open is in use."""
+
+
+class Connection:
+    """One connection to a backend server, owned by the pool while idle and by one call while in use."""
+
+    __slots__ = ("server", "dial", "stream", "timer", "first")
+
+    def __init__(self, server: str, dial: tuple[str, int], stream: IOStream) -> None:
+        self.server, self.dial, self.stream = server, dial, stream
+        self.timer: Timer | None = None
+        self.first = None   # the read that waits for the next answer
+
+
+class ConnectionPool:
+    """Owner of every connection to a backend server; `give_back` and `discard` end their use."""
+
+    def __init__(self, wheel: Wheel, idle_for: float, most: int) -> None:
+        self._wheel, self._idle_for, self._most = wheel, idle_for, most
+        self._idle: dict[str, list[Connection]] = {}
+        self._count = 0
+
+    def take(self, server: str, dial: tuple[str, int]) -> Connection | None:
+        """An idle connection that is known to be alive, the freshest first, with its first read begun."""
+        while kept := self._idle.get(server):
+            connection = kept.pop()
+            connection.timer.cancel()
+            if connection.dial == dial and not connection.stream.closed():
+                # Danger: the other side closed it, or spoke out of turn, and the loop has not come to it yet.
+                # A request written now would be reset, which an unsafe one does not survive; so read first.
+                try:
+                    connection.first = connection.stream.read_bytes(BUFFER, partial=True)
+                except StreamClosedError:
+                    pass
+                if connection.first is not None:
+                    if not connection.first.done():
+                        return connection
+                    connection.first.exception()
+            self.discard(connection)
+        return None
+
+    def open(self, server: str, dial: tuple[str, int]) -> Connection:
+        """A new connection, not yet connected. The oldest idle one makes room when all are taken."""
+        if self._count >= self._most:
+            idle = [c for kept in self._idle.values() for c in kept[:1]]
+            if not idle:
+                raise PoolFull
+            self._drop_idle(idle[0])
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._count += 1
+        return Connection(server, dial, IOStream(sock, max_buffer_size=BUFFER))
+
+    def give_back(self, connection: Connection) -> None:
+        """The call is over and the connection can carry another, for as long as it may lie idle."""
+        if connection.stream.closed():
+            return self.discard(connection)
+        connection.first = None
+        connection.timer = self._wheel.after(self._idle_for, lambda: self._drop_idle(connection))
+        connection.stream.set_close_callback(lambda: self._drop_idle(connection))
+        self._idle.setdefault(connection.server, []).append(connection)
+
+    def discard(self, connection: Connection) -> None:
+        """The call is over and so is the connection."""
+        connection.stream.set_close_callback(None)
+        connection.stream.close()
+        self._count -= 1
+
+    def _drop_idle(self, connection: Connection) -> None:
+        kept = self._idle.get(connection.server, [])
+        if connection in kept:
+            kept.remove(connection)
+            connection.timer.cancel()
+            self.discard(connection)
+
+    def retire(self, server: str) -> None:
+        """Close the idle connections to one server."""
+        for connection in list(self._idle.get(server, ())):
+            self._drop_idle(connection)
+
+    def close(self) -> None:
+        for server in list(self._idle):
+            self.retire(server)
--- /dev/null
+++ b/linkdock/state/requests.py
@@ -0,0 +1,45 @@
+"""The requests that this sender holds, from the moment they came in until nothing is owed for them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class Request:
+    """One message. `answer` is set until its client has been answered; `until` is on the loop's clock."""
+
+    id: str
+    key: str
+    cls: int
+    destination: int
+    until: float
+    body: bytes
+    answer: Callable[[object], bool] | None = None
+
+
+class Requests:
+    """Owner of the open requests; `remove` is the one place where they are given back."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._open: dict[str, Request] = {}
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def __iter__(self):
+        return iter(self._open.values())
+
+    def full(self) -> bool:
+        return len(self._open) >= self._most
+
+    def get(self, request_id: str) -> Request | None:
+        return self._open.get(request_id)
+
+    def add(self, request: Request) -> None:
+        self._open[request.id] = request
+
+    def remove(self, request_id: str) -> None:
+        self._open.pop(request_id, None)
