--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -153,15 +153,15 @@
         waited = self._b.clock() - self._began
         left = max(self._limits[r] for r in self.items) - waited
         headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
-        host = "%s:%d" % self._connection.dial
+        dial = self._connection.dial
         requests = [self._requests[r] for r in self.items]
         if len(requests) == 1:
             headers["X-Trace-Id"] = requests[0].id
-            return http.request("POST", "/v1/messages", host, headers, requests[0].body)
+            return http.request("POST", "/v1/messages", dial, headers, requests[0].body)
         headers["Content-Type"] = "application/json"
         body = json.dumps([{"id": r.id, "key": r.key, "body": base64.b64encode(r.body).decode()}
                            for r in requests], separators=(",", ":")).encode()
-        return http.request("POST", "/v1/messages:batch", host, headers, body)
+        return http.request("POST", "/v1/messages:batch", dial, headers, body)
 
     async def _answer(self) -> bool:
         parser, connection = http.AnswerParser(MOST_BODY), self._connection
--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -45,7 +45,8 @@
     """Keeps one watch open and hands its news on. `version` tells from where to go on."""
 
     def __init__(self, dial: tuple[str, int], wheel: Wheel, pause: Callable,
-                 zones: list[str], kinds: list[str], version: Callable[[], int], news: Callable[[bool, list[Server], int], None]) -> None:
+                 zones: list[str], kinds: list[str], version: Callable[[], int],
+                 news: Callable[[bool, list[Server], int], None]) -> None:
         self._dial, self._wheel, self._pause = dial, wheel, pause
         self._zones, self._kinds, self._version, self._news = zones, kinds, version, news
         self._stream: IOStream | None = None
@@ -70,7 +71,7 @@
         try:
             await stream.connect(self._dial)
             path = f"/api/targets?watch=1&from={self._version()}"
-            await stream.write(http.request("GET", path, "%s:%d" % self._dial))
+            await stream.write(http.request("GET", path, self._dial))
             parser, rest = http.AnswerParser(most_body=None), b""
             while not parser.whole:
                 data = await stream.read_bytes(MOST_LINE, partial=True)
--- a/linkdock/protocol/http.py
+++ b/linkdock/protocol/http.py
@@ -30,9 +30,9 @@
     keep: bool
 
 
-def request(method: str, path: str, host: str, headers: dict[str, str] | None = None,
+def request(method: str, path: str, dial: tuple[str, int], headers: dict[str, str] | None = None,
             body: bytes = b"") -> bytes:
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {dial[0]}:{dial[1]}"]
     lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
     if method == "POST":
         lines.append(f"Content-Length: {len(body)}")
--- a/linkdock/protocol/notices.py
+++ b/linkdock/protocol/notices.py
@@ -83,7 +83,7 @@
         try:
             if fresh:
                 await stream.connect(self._dial)
-            await stream.write(http.request("POST", "/reports", "%s:%d" % self._dial, None, body))
+            await stream.write(http.request("POST", "/reports", self._dial, None, body))
             while not parser.whole:
                 for part in parser.feed(await stream.read_bytes(65536, partial=True)):
                     if isinstance(part, http.Head):
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -114,7 +114,7 @@
             return
         self._facade.tick(now)
         orders = list(iter(self._facade.pick, None))
-        finals = {order.request: order for order in orders if isinstance(order, (Deny, Drop))}
+        finals = {order.request: order for order in orders if isinstance(order, Deny | Drop)}
         # Clients hear first: a dispatch counts only if its client knows that the request was taken.
         asking, self._asking = self._asking, {}
         for request in asking.values():
