--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -238,5 +238,8 @@
         """From then on start nothing that may not be repeated."""
         self._unsafe_until = at
 
-    def calling(self) -> int:
-        return len(set(self._calls.values()))
+    def finishing(self) -> bool:
+        """While stopping: whether anything is left that this life can still bring to its end."""
+        late = self._unsafe_until is not None and self._clock() >= self._unsafe_until
+        return bool(self._calls or self.notices) or any(
+            not late or self._config.repeatable(request.cls) for request in self._requests)
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -25,6 +25,7 @@
 IDLE_MARGIN = 0.75      # seconds before the other side's idle-close at which a connection is retired
 ACCEPT_FOR = 0.5        # seconds after SIGTERM in which new connections may still come: up to 0.4
 NO_UNSAFE_AFTER = 1.7   # seconds after SIGTERM from which what may not be repeated is not started
+LOOK_EVERY = 0.05       # seconds between looks whether it could leave before:
 LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
 
 
@@ -35,6 +36,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task] = set()
         self._failed: BaseException | None = None
+        self._stopping = False
         self._stop = asyncio.Event()
         settings, clock = config.settings, self._loop.time
         self._config = config
@@ -94,12 +96,24 @@
 
     def stop(self) -> None:
         """SIGTERM: finish what can be finished, leave the rest to the journal."""
+        if self._stopping:
+            return
+        self._stopping = True
         log.info("stopping")
-        now = self._loop.time()
-        self.sender.stop_unsafe(now + NO_UNSAFE_AFTER)
-        self._wheel.after(ACCEPT_FOR, self.frontend.stop_accepting)
+        self.sender.stop_unsafe(self._loop.time() + NO_UNSAFE_AFTER)
+        self._wheel.after(ACCEPT_FOR, self._stop_accepting)
         self._wheel.after(LEAVE_AFTER, self._stop.set)
 
+    def _stop_accepting(self) -> None:
+        self.frontend.stop_accepting()
+        self._leave_when_done()
+
+    def _leave_when_done(self) -> None:
+        if self.sender.finishing():
+            self._wheel.after(LOOK_EVERY, self._leave_when_done)
+        else:
+            self._stop.set()
+
     async def run(self) -> int:
         self._loop.add_signal_handler(signal.SIGTERM, self.stop)
         self._loop.add_signal_handler(signal.SIGINT, self._stop.set)
--- /dev/null
+++ b/tests/peers.py
@@ -0,0 +1,221 @@
+"""Scripted peers on loopback sockets for the stories: backend servers, discovery, clients, the program."""
+
+import json
+import os
+import pathlib
+import queue
+import re
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+ROOT = pathlib.Path(__file__).parent.parent
+PATIENCE = 8.0
+
+CLASSES = [
+    {"name": "preview", "idempotency": "read_like", "aim": 0.8, "hard-limit": 6.0, "late-share": 0.1},
+    {"name": "order", "idempotency": "non_idempotent", "aim": 4.0, "hard-limit": 16.0, "importance": 2.0}]
+
+
+def settings(**more):
+    told = {
+        "grades": CLASSES, "zones": ["a"], "machine-types": ["single", "batching"], "balancers": 1, "me": 0,
+        "limits": {"max-open": 50, "max-attempts": 5, "connect-timeout": 1.5, "idle-close": 5.0,
+                   "cancel": True, "retry-after": True, "max-retry-after": 3.0, "second-copies": True},
+        "extra": {"calls-out": 8, "bundle-max": [1, 10]}, "report": {"fields": ["x0", "x1"]},
+        "rules": {"drain-grace": 2.0, "fall-multiple": 1.5, "tip-after": 2.0, "cold-share": 0.3,
+                  "cold": 12.0}}
+    for key, value in more.items():
+        part, _, name = key.partition("__")
+        told[part][name.replace("_", "-")] = value
+    return told
+
+
+class Line:
+    """One accepted connection of a scripted HTTP peer."""
+
+    def __init__(self, sock):
+        self.sock, self.file = sock, sock.makefile("rb")
+        sock.settimeout(PATIENCE)
+
+    def call(self):
+        """The next request: first line, headers and body; None when the other side closed."""
+        try:
+            first = self.file.readline().decode().strip()
+        except ConnectionError:
+            return None
+        if not first:
+            return None
+        headers = {}
+        while line := self.file.readline().decode().strip():
+            name, _, value = line.partition(": ")
+            headers[name.lower()] = value
+        return first, headers, self.file.read(int(headers.get("content-length", 0)))
+
+    def answer(self, status=200, body=b"", **headers):
+        lines = [f"HTTP/1.1 {status} Told", f"Content-Length: {len(body)}"]
+        lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+        self.sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    def close(self):
+        self.file.close()
+        self.sock.close()
+
+
+class Backend:
+    """A backend server whose every answer is the test's."""
+
+    def __init__(self, name, destination=1, kind="single", backlog=16):
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.sock.settimeout(PATIENCE)
+        self.name, self.destination, self.kind = name, destination, kind
+        self.dial = "127.0.0.1:%d" % self.sock.getsockname()[1]  # noqa: UP031
+
+    def row(self, health="ready"):
+        return {"host": self.name, "dial": self.dial, "site": "a", "class": self.kind,
+                "block": self.destination, "health": health, "share": 1.0, "born_ms": 0}
+
+    def line(self):
+        return Line(self.sock.accept()[0])
+
+    def take(self):
+        """Accept a connection and read one call on it."""
+        line = self.line()
+        return line, line.call()
+
+    def quiet(self, seconds=0.3):
+        """Whether nobody connects for so long."""
+        self.sock.settimeout(seconds)
+        try:
+            self.sock.accept()[0].close()
+            return False
+        except TimeoutError:
+            return True
+        finally:
+            self.sock.settimeout(PATIENCE)
+
+
+class Discovery:
+    """Discovery's agent: a watch that says what the test says, and notices on a queue."""
+
+    def __init__(self):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.dial = "127.0.0.1:%d" % self.sock.getsockname()[1]  # noqa: UP031
+        self.notices, self.watches = queue.Queue(), queue.Queue()
+        self.reply = 204   # to notices; None stays silent
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                line = Line(self.sock.accept()[0])
+            except OSError:   # the test took discovery down
+                return
+            threading.Thread(target=self._serve, args=(line,), daemon=True).start()
+
+    def _serve(self, line):
+        line.sock.settimeout(None)
+        while (call := line.call()) is not None:
+            if call[0].startswith("GET"):
+                line.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self.watches.put((call[0], line))
+                continue
+            reply = self.reply
+            for text in call[2].splitlines():
+                self.notices.put((reply, json.loads(text)))
+            if reply:
+                line.answer(reply)
+
+    def notice(self):
+        return self.notices.get(timeout=PATIENCE)[1]
+
+    def watch(self):
+        """The next watch that is opened: its request line, and a function that tells a list."""
+        first, line = self.watches.get(timeout=PATIENCE)
+
+        def tell(seq, rows, whole=False):
+            text = json.dumps({"seq": seq, "whole": whole, "hosts": rows}).encode() + b"\n"
+            line.sock.sendall(b"%x\r\n%s\r\n" % (len(text), text))
+        return first, tell
+
+
+class Client:
+    """A client's connection to the sender."""
+
+    def __init__(self, port):
+        self.sock = socket.create_connection(("127.0.0.1", port), PATIENCE)
+        self.file = self.sock.makefile("rb")
+
+    def send(self, *words):
+        parts = [w if isinstance(w, bytes) else w.encode() for w in words]
+        self.sock.sendall(b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%s\r\n" % (len(p), p) for p in parts))
+
+    def heard(self):
+        return self.file.readline().decode().strip()
+
+    def ask(self, *words):
+        self.send(*words)
+        return self.heard()
+
+    def enqueue(self, name, cls="preview", d=6000, dest=1, body=b"hello"):
+        return self.ask("ENQUEUE", "0" * 16, name, f"c={cls},d={d},dest={dest}", body)
+
+
+class Program:
+    """The real program as its own process, with a folder that lasts."""
+
+    def __init__(self, folder, backends, discovery=None, limits=None, **more):
+        self.discovery = discovery or Discovery()
+        self.state = folder / "state"
+        self.state.mkdir(exist_ok=True)
+        config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.dial, "seed": "8c1f30d2",
+                  "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3, **(limits or {})},
+                  "known": {"seq": 7, "whole": True, "hosts": [b.row() for b in backends]},
+                  "settings": settings(**more)}
+        self.config = folder / "config.json"
+        self.config.write_text(json.dumps(config))
+        self.start()
+
+    def start(self):
+        env = {**os.environ, "RELAY_CONFIG": str(self.config), "RELAY_STATE": str(self.state)}
+        self.process = subprocess.Popen([sys.executable, "-m", "linkdock"], cwd=ROOT, env=env,
+                                        stderr=subprocess.PIPE, text=True)
+        self.log, ready = [], threading.Event()
+
+        def read(stream):
+            for line in stream:
+                self.log.append(line)
+                if "listens on" in line:
+                    ready.set()
+            ready.set()
+        self.reader = threading.Thread(target=read, args=(self.process.stderr,), daemon=True)
+        self.reader.start()
+        ready.wait(PATIENCE)
+        found = re.search(r"listens on \S+:(\d+)", "".join(self.log))
+        assert found, self.log
+        self.port = int(found[1])
+
+    def client(self):
+        return Client(self.port)
+
+    def kill(self):
+        self.process.send_signal(signal.SIGKILL)
+        self.wait()
+
+    def terminate(self):
+        self.process.send_signal(signal.SIGTERM)
+
+    def wait(self):
+        code = self.process.wait(PATIENCE)
+        self.reader.join(PATIENCE)
+        self.process.stderr.close()
+        return code
+
+    def close(self):
+        """The end of every story: it ended only as it was told to, and no task died unseen."""
+        if self.process.poll() is None:
+            self.kill()
+        assert self.process.returncode in (0, -signal.SIGKILL), self.log
+        assert "Traceback" not in "".join(self.log), self.log
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,358 @@
+"""Stories of the real program over loopback sockets against scripted peers, one for each failure met."""
+
+import base64
+import json
+import socket
+import time
+
+import pytest
+from peers import Backend, Discovery, Program
+
+from linkdock.state.journal import Journal
+
+
+@pytest.fixture
+def start(tmp_path):
+    programs = []
+
+    def begin(backends, **more):
+        programs.append(Program(tmp_path, backends, **more))
+        return programs[-1]
+    yield begin
+    for program in programs:
+        program.close()
+
+
+def owed(program):
+    """What the journal still holds; the program must not run."""
+    return Journal(program.state, 3_000_000).kept
+
+
+def settled(client):
+    """A round trip through the program: what it had to do before is done."""
+    assert client.ask("PING") == "+PONG"
+
+
+def test_a_message_is_taken_then_delivered_and_nothing_is_owed(start):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    assert client.enqueue("aa01", body=b"\0\r\n\xff") == "+OK"
+    line, (first, headers, body) = server.take()
+    assert first == "POST /v1/messages HTTP/1.1" and body == b"\0\r\n\xff"
+    assert headers["x-trace-id"] == "aa01" and 5.5 < float(headers["x-expires-in"]) <= 6.0
+    line.answer(200, Endpoint_Load_Metrics="x0=0.9,x1=25")
+    assert client.enqueue("aa02") == "+OK"
+    assert line.call()[1]["x-trace-id"] == "aa02"   # the connection is used again
+    line.answer(200)
+    settled(client)
+    program.kill()
+    assert not owed(program) and program.discovery.notices.empty()
+
+
+def test_a_told_wait_is_kept_and_clients_hear_when_to_come_back(start):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    assert client.enqueue("aa01", d=1500) == "+OK"
+    line, _ = server.take()
+    line.answer(429, Retry_After="2.5")
+    # Too little time for after the wait: denied in the pass that took it, or by a notice once it was taken.
+    notice = program.discovery.notice()
+    assert notice["id"] == "aa01" and notice["status"] == "deferred" and 0 < notice["again_ms"] <= 3000
+    heard = client.enqueue("aa02", d=5)
+    assert heard.startswith("-BUSY ") and 0 < int(heard.split()[1]) <= 3000
+    line.sock.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        line.sock.recv(1)
+
+
+def test_past_max_open_clients_are_denied(start):
+    server = Backend("s1")
+    program = start([server], limits__max_open=3, extra__calls_out=1)
+    client = program.client()
+    heard = [client.enqueue(f"aa0{n}") for n in range(6)]
+    assert heard[:2] == ["+OK"] * 2 and heard[-1].startswith("-BUSY")
+
+
+def test_an_unsafe_message_reset_after_its_last_byte_ends_by_notice_and_is_not_resent(start):
+    servers = [Backend("s1"), Backend("s2")]
+    program = start(servers)
+    client = program.client()
+    assert client.enqueue("aa01", "order", 16000) == "+OK"
+    first = socket_that_is_called(servers)
+    line, _ = first.take()
+    line.close()
+    assert program.discovery.notice() == {"id": "aa01", "status": "undeliverable"}
+    assert all(server.quiet() for server in servers)
+
+
+def socket_that_is_called(servers):
+    import select
+    ready, _, _ = select.select([s.sock for s in servers], [], [], 8)
+    return next(s for s in servers if s.sock in ready)
+
+
+def test_an_unsafe_message_whose_connection_is_refused_goes_to_another_server(start):
+    dead, server = Backend("s1"), Backend("s2")
+    dead.sock.close()
+    program = start([dead, server])
+    client = program.client()
+    for n in range(4):   # wherever the first goes, one of them meets the dead server
+        assert client.enqueue(f"aa0{n}", "order", 16000) == "+OK"
+    called = set()
+    while len(called) < 4:
+        line, call = server.take()
+        called.add(call[1]["x-trace-id"])
+        line.answer(200, Connection="close")
+        line.close()
+    assert program.discovery.notices.empty()
+
+
+def test_each_message_of_a_batch_ends_as_its_answer_says(start):
+    server = Backend("s1", kind="batching")
+    program = start([server], extra__calls_out=1)
+    client = program.client()
+    assert client.enqueue("aa00") == "+OK"
+    line, _ = server.take()
+    names = ["aa01", "aa02", "aa03", "aa04", "aa05", "aa06"]
+    for name in names:   # they wait for the only slot, and then share a call
+        assert client.enqueue(name, "order" if name == "aa06" else "preview") == "+OK"
+    line.answer(200)
+    first, _, body = line.call()
+    sent = json.loads(body)
+    assert first.startswith("POST /v1/messages:batch ") and sorted(m["id"] for m in sent) == names
+    assert {base64.b64decode(m["body"]) for m in sent} == {b"hello"}
+    states = dict(zip(names, ["done", "failed", "busy", "void", "used_up", "failed"], strict=True))
+    line.answer(200, json.dumps([{"id": n, "state": s} for n, s in states.items()]).encode())
+    # Of the two that failed only the repeatable one goes again, with the one that was turned away.
+    ended = [program.discovery.notice() for _ in range(2)]
+    assert sorted(n["id"] for n in ended) == ["aa05", "aa06"]
+    assert {n["status"] for n in ended} == {"undeliverable"}
+    again = set()
+    while again != {"aa02", "aa03"}:
+        _, headers, body = line.call()
+        again |= {m["id"] for m in json.loads(body)} if body.startswith(b"[") else {headers["x-trace-id"]}
+        assert again <= {"aa02", "aa03"}
+        answer = json.dumps([{"id": n, "state": "done"} for n in again]).encode()
+        line.answer(200, answer if body.startswith(b"[") else b"")
+
+
+@pytest.mark.parametrize("torn", [False, True])
+def test_sigkill_repeats_what_is_safe_and_ends_what_may_have_run(start, torn):
+    server, other = Backend("s1"), Backend("s2", destination=2)
+    program = start([server, other])
+    client = program.client()
+    assert client.enqueue("aa01") == "+OK" and client.enqueue("aa02", "order", 16000, dest=2) == "+OK"
+    lines = [server.take()[0], other.take()[0]]
+    program.kill()
+    if torn:
+        with open(program.state / "journal", "ab") as journal:
+            journal.write(b"\x40\0\0\0half a record")
+    program.start()
+    assert program.discovery.notice() == {"id": "aa02", "status": "undeliverable"}
+    line, (_, headers, _) = server.take()
+    assert headers["x-trace-id"] == "aa01" and float(headers["x-expires-in"]) < 6.0
+    line.answer(200)
+    assert other.quiet()
+    settled(program.client())
+    program.kill()
+    assert not owed(program) and lines
+
+
+def test_what_never_ran_outlives_a_kill_even_if_it_may_not_be_repeated(start):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    assert client.enqueue("aa01", "order", 16000) == "+OK"
+    line, _ = server.take()
+    line.answer(429, Retry_After="0.6")
+    settled(client)
+    program.kill()
+    program.start()
+    line, (_, headers, _) = server.take()
+    assert headers["x-trace-id"] == "aa01"
+    line.answer(200)
+    settled(program.client())
+    assert program.discovery.notices.empty()
+
+
+def test_sigterm_finishes_calls_then_leaves(start):
+    server = Backend("s1")
+    program = start([server])
+    client, fresh = program.client(), None
+    assert client.enqueue("aa01", "order", 16000) == "+OK"
+    line, _ = server.take()
+    program.terminate()
+    fresh = program.client()   # new connections still come for a while
+    assert fresh.enqueue("aa02") == "+OK"
+    second, _ = server.take()
+    assert fresh.heard() == "" and client.heard() == ""   # both are closed between requests
+    line.answer(200)
+    second.answer(200)
+    begun = time.monotonic()
+    assert program.wait() == 0 and time.monotonic() - begun < 2   # nothing is left to wait for
+    assert not owed(program) and program.discovery.notices.empty()
+
+
+def test_sigterm_leaves_unfinished_messages_to_the_next_life(start):
+    server = Backend("s1")
+    program = start([server], extra__calls_out=1)
+    client = program.client()
+    assert client.enqueue("aa01") == "+OK" and client.enqueue("aa02", "order", 16000) == "+OK"
+    line, (_, first, _) = server.take()
+    program.terminate()
+    assert program.wait() == 0
+    assert line.call() is None and set(owed(program)) == {"aa01", "aa02"}
+    program.start()
+    ids = set()
+    while ids != {"aa01", "aa02"}:
+        line, (_, headers, _) = server.take()
+        ids.add(headers["x-trace-id"])
+        line.answer(200, Connection="close")
+
+
+def test_notices_are_retried_until_the_platform_confirms_them(start):
+    server = Backend("s1")
+    program = start([server])
+    program.discovery.reply = None
+    client = program.client()
+    assert client.enqueue("aa01", "order", 16000) == "+OK"
+    server.take()[0].close()
+    assert program.discovery.notices.get(timeout=8)[0] is None
+    program.kill()   # nor does a kill lose it
+    assert owed(program)["aa01"].notice == {"id": "aa01", "status": "undeliverable"}
+    program.discovery.reply = 204
+    program.start()
+    reply = None
+    while reply != 204:
+        reply, notice = program.discovery.notices.get(timeout=8)
+        assert notice == {"id": "aa01", "status": "undeliverable"}
+
+
+def test_a_silent_watch_is_opened_again_and_drains_are_heeded(start):
+    old, new = Backend("s1"), Backend("s2")
+    program = start([old])
+    first, tell = program.discovery.watch()
+    assert "from=7" in first
+    tell(9, [old.row("draining"), new.row()])
+    client = program.client()
+    assert client.enqueue("aa01") == "+OK"
+    line, _ = new.take()
+    line.answer(200)
+    first, _ = program.discovery.watch()   # no empty lines come, so that the first is given up
+    assert "from=9" in first and old.quiet(0.01)
+
+
+def test_a_dispatch_is_not_written_when_a_wait_was_told_while_it_connected(start):
+    slow, quick = Backend("s1", backlog=0), Backend("s2")
+    held = [socket.create_connection(slow.sock.getsockname()), socket.socket()]
+    held[1].setblocking(False)
+    held[1].connect_ex(slow.sock.getsockname())   # the backlog is full: the next connect hangs
+    program = start([slow, quick])
+    client = program.client()
+    for n in range(2):
+        assert client.enqueue(f"aa0{n}") == "+OK"   # one to each server
+    line, _ = quick.take()
+    told = time.monotonic()
+    line.answer(429, Retry_After="1.8")
+    for _ in held:
+        slow.line().close()
+    late = slow.line()
+    assert time.monotonic() - told < 1.8   # it came up while the wait lasted, and nothing is written yet
+    assert late.call() is not None and time.monotonic() - told >= 1.8
+
+
+def test_idle_connections_are_retired_before_the_server_closes_them(start):
+    server = Backend("s1")
+    program = start([server], limits__idle_close=1.0)
+    assert program.client().enqueue("aa01") == "+OK"
+    line, _ = server.take()
+    line.answer(200)
+    begun = time.monotonic()
+    assert line.call() is None and time.monotonic() - begun < 1.0
+
+
+def test_a_connection_that_the_server_closed_is_not_used_again(start):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    assert client.enqueue("aa01", "order") == "+OK"
+    line, _ = server.take()
+    line.answer(200)
+    settled(client)
+    line.sock.sendall(b"HTTP/1.1 408 Out of turn\r\n\r\n")
+    line.close()
+    assert client.enqueue("aa02", "order") == "+OK"
+    line, (_, headers, _) = server.take()
+    assert headers["x-trace-id"] == "aa02"
+    line.answer(200)
+    settled(client)
+    assert program.discovery.notices.empty()
+
+
+@pytest.mark.parametrize("answer", [b"SMTP ready\r\n\r\n", b"HTTP/1.1 200\r\n", b"HTTP/1.1 999 What\r\n\r\n",
+                                    b"HTTP/1.1 500 No\r\nContent-Length: -1\r\n\r\n", b"\0" * 20000])
+def test_a_bad_answer_is_an_outcome(start, answer):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    assert client.enqueue("aa01", "order") == "+OK"
+    line, _ = server.take()
+    line.sock.sendall(answer)
+    line.close()
+    assert program.discovery.notice() == {"id": "aa01", "status": "undeliverable"}
+    settled(client)
+
+
+PAIRS = "c=preview,d=6000,dest=1"
+
+
+@pytest.mark.parametrize("words", [
+    ["ENQUEUE"], ["ENQUEUE", "0", "aa", PAIRS], ["ENQUEUE", "0", "a b", PAIRS, "x"],
+    ["ENQUEUE", "0", "aa", "c=other,d=1,dest=1", "x"], ["ENQUEUE", "0", "aa", "c=preview,d=1,dest=99", "x"],
+    ["ENQUEUE", "0", "aa", "c=preview,d=-1,dest=1", "x"], ["ENQUEUE", "0", "aa", "c=preview,dest=1", "x"],
+    ["ENQUEUE", "0", "aa", "c=preview,d=9e9,dest=1", "x"], ["ENQUEUE", "0", "aa", "nonsense", "x"],
+    ["ENQUEUE", "0", "aa", PAIRS, b"x" * 70000],
+    ["ENQUEUE", "0\r\nX: 1", "aa", PAIRS, "x"], ["FLUSHALL"], [""]])
+def test_malformed_commands_get_an_error_and_the_connection_goes_on(start, words):
+    program = start([Backend("s1")])
+    client = program.client()
+    assert client.ask(*words).startswith("-ERR ")
+    settled(client)
+
+
+@pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n\r\n", b"*x\r\n", b"*1\r\n$-5\r\n", b"*99999999\r\n",
+                                  b"*1\r\n$4\r\nPINGxx", b"*" + b"1" * 99])
+def test_what_is_no_command_gets_an_error_and_ends_only_its_connection(start, data):
+    program = start([Backend("s1")])
+    client = program.client()
+    client.sock.sendall(data)
+    assert client.heard().startswith("-ERR Protocol error") and client.heard() == ""
+    settled(program.client())
+
+
+def test_a_journal_near_its_limit_denies_and_recovers(start):
+    server = Backend("s1")
+    program = start([server], limits={"disk_mb": 0.02}, extra__calls_out=1)
+    client = program.client()
+    heard = [client.enqueue(f"aa{n:02}", body=b"x" * 900) for n in range(12)]
+    assert heard[:3] == ["+OK"] * 3 and heard[-1].startswith("-BUSY")
+    line, _ = server.take()
+    for _ in range(heard.count("+OK")):
+        line.answer(200)
+        if client.enqueue("bb01", body=b"x" * 900) == "+OK":
+            break
+        line.call()
+    else:
+        pytest.fail("never took on again")
+    assert sum(-(-f.stat().st_size // 512) * 512 for f in program.state.iterdir()) <= 20_000
+
+
+def test_discovery_that_is_down_from_the_start_does_not_stop_the_sender(start):
+    discovery = Discovery()
+    discovery.sock.close()
+    server = Backend("s1")
+    program = start([server], discovery=discovery)
+    assert program.client().enqueue("aa01") == "+OK"
+    server.take()[0].answer(200)
