--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -246,9 +246,7 @@
 
 def test_a_dispatch_is_not_written_when_a_wait_was_told_while_it_connected(start):
     slow, quick = Backend("s1", backlog=0), Backend("s2")
-    held = [socket.create_connection(slow.sock.getsockname()), socket.socket()]
-    held[1].setblocking(False)
-    held[1].connect_ex(slow.sock.getsockname())   # the backlog is full: the next connect hangs
+    held = socket.create_connection(slow.sock.getsockname())   # the backlog is full: the next connect hangs
     program = start([slow, quick])
     client = program.client()
     for n in range(2):
@@ -256,11 +254,11 @@
     line, _ = quick.take()
     told = time.monotonic()
     line.answer(429, Retry_After="1.8")
-    for _ in held:
-        slow.line().close()
+    slow.line().close()
     late = slow.line()
     assert time.monotonic() - told < 1.8   # it came up while the wait lasted, and nothing is written yet
     assert late.call() is not None and time.monotonic() - told >= 1.8
+    held.close()
 
 
 def test_idle_connections_are_retired_before_the_server_closes_them(start):
