--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+PYTHON := .venv/bin/python
+
+.PHONY: build test lint run
+
+build: .venv/bin/pytest
+
+.venv/bin/pytest: requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv .venv
+	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	touch $@
+
+test: build
+	$(PYTHON) -m pytest -q
+
+lint: build
+	.venv/bin/ruff check .
+
+run: build
+	exec $(PYTHON) -m linkdock
--- a/linkdock/__init__.py
+++ b/linkdock/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions of an outbound gateway: `interface` says what goes in and out, `decide` decides."""
+"""A sender and its decisions: `interface` says what goes in and out, `decide` decides."""
 
 from .decide import Relay
 from .interface import (
--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,195 @@
+"""The parts without a process: parsers, journal, wheel, pool's bounds, configuration."""
+
+import json
+import os
+
+import pytest
+from peers import settings
+
+from linkdock import facade
+from linkdock.protocol import http, resp
+from linkdock.service import config
+from linkdock.state.journal import Journal, Kept
+from linkdock.state.table import ServerTable
+from linkdock.state.wheel import Wheel
+
+# --- Parsers: the same whatever the pieces in which bytes come.
+
+
+def commands(data, size):
+    parser, found = resp.CommandParser(), []
+    for at in range(0, len(data), size):
+        parser.feed(data[at:at + size])
+        while True:
+            try:
+                words = parser.next()
+            except resp.Oversize:
+                words = "oversize"
+            if words is None:
+                break
+            found.append(words)
+    assert not parser.partial
+    return found
+
+
+@pytest.mark.parametrize("size", [1, 7, 100_000, 1_000_000])
+def test_commands_are_found_in_any_pieces_and_an_oversize_one_is_skipped(size):
+    long = b"*2\r\n$1\r\nx\r\n$65536\r\n" + b"y" * 65536 + b"\r\n"
+    data = b"*1\r\n$4\r\nPING\r\n*0\r\n*2\r\n$0\r\n\r\n$2\r\n\r\n\r\n" + long + b"*1\r\n$4\r\nPING\r\n"
+    assert commands(data, size) == [[b"PING"], [b"", b"\r\n"], "oversize", [b"PING"]]
+
+
+@pytest.mark.parametrize("size", [1, 5, 1000])
+@pytest.mark.parametrize("text, body, keep", [
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", b"hi", True),
+    (b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", b"hi", False),
+    (b"HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 204 None\r\n\r\n", b"", True),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", b"hi", True)])
+def test_answers_are_read_in_any_pieces(size, text, body, keep):
+    parser, parts = http.AnswerParser(), []
+    for at in range(0, len(text), size):
+        parts += parser.feed(text[at:at + size])
+    assert b"".join(p.data for p in parts if isinstance(p, http.Body)) == body
+    assert parts[-1] == http.Whole(keep) and parser.whole
+
+
+def test_bytes_beyond_an_answer_end_the_use_of_its_connection():
+    parts = http.AnswerParser().feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK")
+    assert parts[-1] == http.Whole(False)
+
+
+@pytest.mark.parametrize("text", [
+    b"\n" * 20_000, b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + b"x" * 70_000,
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+def test_what_is_no_answer_is_said_to_be_none(text):
+    with pytest.raises(http.BadAnswer):
+        http.AnswerParser().feed(text)
+
+
+# --- Journal.
+
+def kept(n, size=100):
+    return Kept(f"m{n}", "0", "preview", 1, 2e9, bytes([n % 256]) * size)
+
+
+def test_the_journal_never_holds_more_than_its_folder_may_while_it_is_rewritten(tmp_path, monkeypatch):
+    limit, most, replace = 40_000, 0, os.replace
+
+    def measure(*names):
+        nonlocal most
+        most = max(most, sum(-(-f.stat().st_size // 512) * 512 for f in tmp_path.iterdir()))
+        if names:
+            replace(*names)
+    monkeypatch.setattr(os, "replace", measure)
+    journal, taken = Journal(tmp_path, limit), []
+    for n in range(2000):
+        if journal.take(kept(n)):
+            taken.append(n)
+            assert journal.sent(f"m{n}", 0)
+        else:
+            journal.end(f"m{taken.pop(0)}")
+        measure()
+    journal.close()
+    assert len(taken) > 10 and 0 < most <= limit
+    again = Journal(tmp_path, limit)
+    assert list(again.kept) == [f"m{n}" for n in taken]
+    assert all(k.used == 1 and k.doubt == {0} and len(k.body) == 100 for k in again.kept.values())
+    again.close()
+
+
+@pytest.mark.parametrize("cut", range(1, 26, 6))
+def test_a_torn_record_costs_only_itself(tmp_path, cut):
+    journal = Journal(tmp_path, 1_000_000)
+    for n in range(2):
+        journal.take(kept(n))
+    journal.sent("m0", 0)
+    journal.never("m0", 0)
+    journal.sent("m1", 3)
+    journal.close()
+    path = tmp_path / "journal"
+    path.write_bytes(path.read_bytes()[:-cut])
+    again = Journal(tmp_path, 1_000_000)
+    assert set(again.kept) == {"m0", "m1"} and not again.kept["m0"].doubt and not again.kept["m1"].doubt
+    assert again.take(kept(2))
+    again.close()
+    last = Journal(tmp_path, 1_000_000)
+    assert set(last.kept) == {"m0", "m1", "m2"}   # what came after the torn record can be read
+    last.close()
+
+
+def test_a_notice_replaces_the_body_and_ends_the_record_once_confirmed(tmp_path):
+    journal = Journal(tmp_path, 1_000_000)
+    journal.take(kept(1))
+    journal.notice("m1", {"id": "m1", "status": "undeliverable"})
+    journal.close()
+    again = Journal(tmp_path, 1_000_000)
+    assert again.kept["m1"].notice == {"id": "m1", "status": "undeliverable"}
+    again.end("m1")
+    again.close()
+    assert not Journal(tmp_path, 1_000_000).kept
+
+
+# --- Wheel and table.
+
+def test_the_wheel_fires_in_order_never_early_and_takes_back_what_is_cancelled():
+    wheel, fired = Wheel(0.005, 100.0), []
+    wheel.after(0.05, lambda: fired.append("late"))
+    wheel.after(0.02, lambda: fired.append("early"))
+    other = wheel.after(0.02, lambda: fired.append("cancelled"))
+    wheel.after(0.02, other.cancel)
+    other.cancel()
+    wheel.advance(100.02 - 1e-6)
+    assert fired == []
+    wheel.advance(200.0)   # after a stall all that is due fires, in order
+    assert fired == ["early", "late"]
+    wheel.after(0.0, lambda: fired.append("next"))
+    wheel.advance(200.01)
+    assert fired[-1] == "next"
+
+
+@pytest.mark.parametrize("apart", [False, True])
+def test_a_wait_binds_the_destination_or_where_routes_are_apart_the_server(apart):
+    table = ServerTable([apart])
+    table.update(True, [facade.Server(n, ("127.0.0.1", 1), 7) for n in "ab"], 1)
+    table.told_wait("a", 5.0)
+    table.told_wait("a", 4.0)   # a shorter one does not cut it
+    assert table.closed("a", 4.9) and bool(table.closed("b", 4.9)) is not apart
+    assert table.closed("a", 5.0) is None
+    table.update(True, [facade.Server("b", ("127.0.0.1", 1), 7)], 2)
+    assert table.closed("a", 9.0) == "is gone" and table.closed("b", 9.0) is None
+
+
+# --- Configuration.
+
+def told(**more):
+    return {"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
+            "settings": settings(), **more}
+
+
+def test_the_configuration_is_read_with_its_defaults(tmp_path):
+    read = config.check(told(), tmp_path)
+    assert read.settings.max_open == 50 and [k.batch for k in read.settings.kinds] == [1, 10]
+    assert (read.sockets, read.disk_mb, read.seed) == (1024, 3.0, 255)
+    assert read.repeatable(read.classes["preview"]) and not read.repeatable(read.classes["order"])
+
+
+@pytest.mark.parametrize("change, key", [
+    (lambda t: t.pop("seed"), "seed is missing"), (lambda t: t.update(listen="here"), "listen must be"),
+    (lambda t: t["settings"].pop("limits"), "settings.limits is missing"),
+    (lambda t: t["settings"]["limits"].update({"max-open": 0}), "settings.limits.max-open must be at least"),
+    (lambda t: t["settings"]["extra"].update({"calls-out": True}), "settings.extra.calls-out must be a"),
+    (lambda t: t["settings"]["extra"].update({"bundle-max": [1, 0]}), r"settings.extra.bundle-max\[1\]"),
+    (lambda t: t["settings"]["grades"][0].update(idempotency="x"), r"settings.grades\[0\].idempotency"),
+    (lambda t: t["settings"].update(me=3), "settings.me must be below"),
+    (lambda t: t.update(limits={"disk_mb": "3"}), "limits.disk_mb must be a number")])
+def test_a_faulty_configuration_names_its_key(tmp_path, change, key):
+    wrong = json.loads(json.dumps(told()))
+    change(wrong)
+    with pytest.raises(config.ConfigError, match=key):
+        config.check(wrong, tmp_path)
+
+
+@pytest.mark.parametrize("environ", [{}, {"RELAY_CONFIG": "/nowhere"}])
+def test_a_missing_configuration_names_its_variable(environ):
+    with pytest.raises(config.ConfigError, match="RELAY_CONFIG"):
+        config.load(environ)
