Bound writes to clients, and contain failures of single connections

Seen by reading the paths of the error cases, then probed by stories: a client that sends PING and never reads left its coroutine waiting for ever (frontend.py, await stream.write without a deadline); a list with seq null raised TypeError, which ended the process through spawn. Each connection's task now gives back what it holds and its failure is logged; only a failed tick ends the process. Also: RELAY_STATE and known are checked at the start, and where second copies are not allowed a batch is given up whole.

--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -38,7 +38,9 @@
                 float(row.get("share", 1.0)), float(row.get("born_ms", 0)) / 1000))
         except (KeyError, TypeError, ValueError, AttributeError) as bad:
             log.warning("discovery: a line was passed over: %r: %s", row, bad)
-    return bool(told.get("whole")), servers, int(told.get("seq", 0))
+    if not isinstance(told.get("seq", 0), int):
+        raise ValueError("seq is no whole number")
+    return bool(told.get("whole")), servers, told.get("seq", 0)
 
 
 class Watch:
@@ -59,6 +61,8 @@
             except (StreamClosedError, OSError, http.BadAnswer, ValueError) as bad:
                 if not self._closed:
                     log.info("discovery: watch ended: %s", bad)
+            except Exception:
+                log.exception("discovery: the watch failed and is opened again")
             finally:
                 self._stream.close()
             await self._pause(PAUSE)
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -100,7 +100,7 @@
                 try:
                     words = parser.next()
                 except resp.Oversize as bad:
-                    await stream.write(resp.error(f"ERR {bad}"))
+                    await self._written(stream, stream.write(resp.error(f"ERR {bad}")))
                     continue
                 if words is not None:
                     if not await self._command(stream, words):
@@ -110,7 +110,8 @@
                     return
                 parser.feed(await self._read(stream, parser.partial))
         except resp.Malformed as bad:
-            await self._last_words(stream, resp.error(f"ERR Protocol error: {bad}"))
+            if not stream.closed():
+                stream.write(resp.error(f"ERR Protocol error: {bad}")).add_done_callback(_seen)
         except StreamClosedError:
             pass
         finally:
@@ -118,11 +119,13 @@
             self._idle.pop(stream, None)
             stream.close()
 
-    async def _last_words(self, stream: IOStream, text: bytes) -> None:
+    async def _written(self, stream: IOStream, write: asyncio.Future) -> None:
+        """Danger: a client that sends and never reads; its answers must neither wait for ever nor pile up."""
+        timer = self._wheel.after(STALLED, stream.close)
         try:
-            await stream.write(text)
-        except StreamClosedError:
-            pass
+            await write
+        finally:
+            timer.cancel()
 
     async def _read(self, stream: IOStream, begun: bool) -> bytes:
         if not begun:
@@ -139,12 +142,14 @@
         name = words[0].upper()
         if name == b"ENQUEUE":
             answered = asyncio.get_running_loop().create_future()
+            writes = []
 
             def answer(said: Taken | Busy | Failed) -> bool:
                 """Write at once, so that the client hears it before any dispatch; False if it has gone."""
                 gone = stream.closed()
                 if not gone:
-                    stream.write(encode(said)).add_done_callback(_seen)
+                    writes.append(stream.write(encode(said)))
+                    writes[0].add_done_callback(_seen)
                 if not answered.done():
                     answered.set_result(None)
                 return not gone
@@ -155,16 +160,17 @@
                 answer(Failed(str(bad)))
             stream.set_close_callback(lambda: answered.done() or answered.set_result(None))
             await answered   # its deadline is the desk's: every request is answered at its next tick
+            if writes:
+                await self._written(stream, writes[0])
             return not stream.closed()
         if name == b"PING":
-            await stream.write(resp.simple("PONG"))
+            reply = resp.simple("PONG")
         elif name == b"QUIT":
-            await stream.write(resp.simple("OK"))
-            return False
+            reply = resp.simple("OK")
         else:
-            shown = words[0][:32].decode("ascii", "replace")
-            await stream.write(resp.error(f"ERR unknown command '{shown}'"))
-        return True
+            reply = resp.error(f"ERR unknown command '{words[0][:32].decode('ascii', 'replace')}'")
+        await self._written(stream, stream.write(reply))
+        return name != b"QUIT"
 
     def _enqueue(self, words: list[bytes], answer: Callable) -> None:
         if len(words) != 5:
--- a/linkdock/protocol/notices.py
+++ b/linkdock/protocol/notices.py
@@ -56,6 +56,9 @@
             except (StreamClosedError, OSError, http.BadAnswer) as bad:
                 status = 0
                 log.info("notices: not confirmed: %s", bad)
+            except Exception:
+                status = 0
+                log.exception("notices: a post failed and is made again")
             if status == 204:
                 pause = PAUSE
                 for request in batch:
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -169,6 +169,11 @@
             left = request.until - now
             items.append(item._replace(limit=min(item.limit or left, left)))
             requests.append(request)
+        if not self._config.settings.second_copies:
+            # A call is given up whole: one that is let go of while the call lasts could go out a second time.
+            longest = max((item.limit for item in items), default=0.0)
+            items = [item._replace(limit=min(longest, request.until - now))
+                     for item, request in zip(items, requests, strict=True)]
         if items:
             call = Call(self.backend, Dispatch(order.server, items), requests)
             self._calls.update(((item.request, item.attempt), call) for item in items)
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -122,8 +122,8 @@
         told = json.loads(Path(path).read_bytes())
     except (OSError, ValueError) as bad:
         raise ConfigError(f"RELAY_CONFIG: {path}: {bad}") from None
-    if not environ.get("RELAY_STATE"):
-        raise ConfigError("RELAY_STATE is not set")
+    if not os.path.isdir(environ.get("RELAY_STATE", "")):
+        raise ConfigError(f"RELAY_STATE must name a folder, not {environ.get('RELAY_STATE')!r}")
     if isinstance(told, dict):
         for key in ("name", "listen", "discovery"):
             variable = f"RELAY_{key.upper()}"
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -45,7 +45,10 @@
         table = ServerTable(kind.apart for kind in settings.kinds)
         facade = Facade(settings, config.seed)
         if config.known:
-            _, servers, version = read_news(config.known, config.zones, config.kinds)
+            try:
+                _, servers, version = read_news(config.known, config.zones, config.kinds)
+            except ValueError as bad:
+                raise ConfigError(f"known: {bad}") from None
             table.update(True, servers, version)
             facade.report(Table("kept", servers, version))
         self.sender = Sender(config, clock, self.spawn, facade, self._journal, table)
@@ -64,7 +67,7 @@
         self._beat()
 
     def spawn(self, work: Coroutine) -> None:
-        """Run a coroutine. One that fails ends the process: its work would be lost unseen."""
+        """Run a coroutine. Each gives back what it holds on its way out, so that a failure stays its own."""
         task = self._loop.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._done)
@@ -73,8 +76,6 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.error("a task failed", exc_info=task.exception())
-            self._failed = self._failed or task.exception()
-            self._stop.set()
 
     async def pause(self, seconds: float) -> None:
         done = self._loop.create_future()
@@ -88,6 +89,7 @@
             self._wheel.advance(self._loop.time())
             self.sender.beat()
         except Exception as bad:
+            # What the decisions hold is not to be trusted any more; the journal is, and a restart reads it.
             log.exception("a tick failed")
             self._failed = self._failed or bad
             self._stop.set()
@@ -133,11 +135,10 @@
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
-        config = load()
+        return asyncio.run(_run(load()))
     except ConfigError as bad:
         print(f"linkdock: {bad}", file=sys.stderr)
         return 2
-    return asyncio.run(_run(config))
 
 
 async def _run(config: Config) -> int:
--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -165,7 +165,8 @@
 
     def never(self, request: str, attempt: int) -> None:
         """That dispatch is proven not to have run."""
-        self._note(NEVER, {"id": request, "n": attempt})
+        if request in self.kept and attempt in self.kept[request].doubt:
+            self._note(NEVER, {"id": request, "n": attempt})
 
     def notice(self, request: str, notice: dict) -> None:
         """The request is over for the decisions; the platform must still hear of it."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -354,3 +354,29 @@
     program = start([server], discovery=discovery)
     assert program.client().enqueue("aa01") == "+OK"
     server.take()[0].answer(200)
+
+
+def test_a_client_that_never_reads_is_let_go_and_harms_nobody(start):
+    program = start([Backend("s1")])
+    client = program.client()
+    client.sock.setblocking(False)
+    with pytest.raises((BlockingIOError, ConnectionError)):   # until neither side takes more
+        while True:
+            client.sock.send(b"*1\r\n$4\r\nPING\r\n" * 1000)
+    settled(program.client())
+    client.sock.settimeout(8)
+    with pytest.raises((ConnectionError, BrokenPipeError)):
+        client.sock.sendall(b"*1\r\n$4\r\nPING\r\n" * 1_000_000)
+
+
+@pytest.mark.parametrize("line", [
+    b"{}", b"[]", b"\xff", b'{"seq":null,"hosts":[]}', b'{"seq":8,"hosts":[3,{}]}'])
+def test_bad_news_is_passed_over(start, line):
+    server = Backend("s1")
+    program = start([server])
+    line_of = program.discovery.watches.get(timeout=8)[1]
+    line_of.sock.sendall(b"%x\r\n%s\n\r\n" % (len(line) + 1, line))
+    if b"{}]" not in line:
+        assert program.discovery.watch()   # opened again
+    assert program.client().enqueue("aa01") == "+OK"
+    server.take()[0].answer(200)
