Retire a server's idle connections after a reset or a time-out there

Seen: PROTOCOL says that a machine that is cut off leaves its connections open and silent and resets them once it is back. A story with two idle connections, one reset under a call, showed the other kept until its idle time (5.8 s; calls.py, _end). Unsafe messages written to such a connection are lost.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -86,6 +86,10 @@
     def _end(self, request: str, how: str, **more) -> None:
         item = self.items.pop(request, None)
         if item is not None:
+            if how in (RESET, TIMED_OUT):
+                # Danger: a machine that is gone or cut off leaves its connections open and silent, and resets
+                # them once it is back, with whatever was written. Costs a new one where the server was slow.
+                self._b.pool.retire(self.server)
             self._timers.pop(request).cancel()
             self._b.desk.ended(self.server, item, how, self._b.clock() - self._began, **more)
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -380,3 +380,23 @@
         assert program.discovery.watch()   # opened again
     assert program.client().enqueue("aa01") == "+OK"
     server.take()[0].answer(200)
+
+
+def test_a_reset_retires_the_idle_connections_to_its_server(start):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    lines = {}
+    for name in ("aa01", "aa02"):
+        assert client.enqueue(name, "order") == "+OK"
+        line, (_, headers, _) = server.take()
+        lines[headers["x-trace-id"]] = line
+    for line in lines.values():
+        line.answer(200)
+        settled(client)
+    assert client.enqueue("aa03", "order") == "+OK"   # over the freshest of the two
+    assert lines["aa02"].call()[1]["x-trace-id"] == "aa03"
+    lines["aa02"].close()
+    begun = time.monotonic()
+    # The machine behind it may be gone or cut off, and then the other connection is dead as well.
+    assert lines["aa01"].call() is None and time.monotonic() - begun < 2
