--- a/tests/peers.py
+++ b/tests/peers.py
@@ -29,7 +29,7 @@
                   "cold": 12.0}}
     for key, value in more.items():
         part, _, name = key.partition("__")
-        told[part][name.replace("_", "-")] = value
+        (told[part] if name else told)[(name or part).replace("_", "-")] = value
     return told
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -400,3 +400,74 @@
     begun = time.monotonic()
     # The machine behind it may be gone or cut off, and then the other connection is dead as well.
     assert lines["aa01"].call() is None and time.monotonic() - begun < 2
+
+
+def test_dispatches_of_an_earlier_life_count_as_attempts(start):
+    server = Backend("s1")
+    program = start([server], limits__max_attempts=2)
+    assert program.client().enqueue("aa01") == "+OK"
+    server.take()
+    program.kill()
+    program.start()
+    line, _ = server.take()
+    line.answer(500, Connection="close")
+    assert program.discovery.notice()["id"] == "aa01" and server.quiet()
+
+
+def test_a_client_that_left_before_its_answer_is_owed_nothing(start):
+    server = Backend("s1")
+    program = start([server], tick=0.2)   # time enough to leave
+    client = program.client()
+    client.send("ENQUEUE", "0", "aa01", "c=preview,d=6000,dest=1", "x")
+    client.file.close()
+    client.sock.close()
+    assert server.quiet(0.6)
+    program.kill()
+    assert not owed(program) and program.discovery.notices.empty()
+
+
+def test_giving_up_closes_the_connection_and_tells_the_client_at_once(start):
+    server = Backend("s1")
+    program = start([server])
+    assert program.client().enqueue("aa01", d=700) == "+OK"
+    line, _ = server.take()
+    begun = time.monotonic()
+    assert line.call() is None and time.monotonic() - begun < 1.5   # the slot is free again
+    assert program.discovery.notice()["status"] == "deferred"
+
+
+def test_after_sigterm_nothing_unsafe_is_started_that_could_not_finish(start):
+    server = Backend("s1")
+    program = start([server], extra__calls_out=1)
+    client = program.client()
+    for name in ("aa01", "aa02"):
+        assert client.enqueue(name, "order", 16000) == "+OK"
+    line, _ = server.take()
+    program.terminate()
+    assert server.quiet(2.2)   # the only slot stays taken until it is too late for the second
+    line.answer(200)
+    assert program.wait() == 0
+    assert line.call() is None and set(owed(program)) == {"aa02"}
+
+
+@pytest.mark.parametrize("copies", [True, False])
+def test_in_a_shared_call_one_may_be_given_up_and_still_be_delivered(start, copies):
+    server = Backend("s1", kind="batching")
+    program = start([server], limits__second_copies=copies, extra__calls_out=1 if copies else 8)
+    client = program.client()
+    assert client.enqueue("aa01") == "+OK"
+    line, _ = server.take()
+    line.close()   # a loss: from now on a call of this class may last no longer than tau
+    line, _ = server.take()
+    line.answer(429, Retry_After="0.4")
+    assert client.enqueue("aa02", "order", 16000) == "+OK"   # waits too, and then shares the call
+    _, headers, body = line.call()
+    assert {m["id"] for m in json.loads(body)} == {"aa01", "aa02"}
+    assert server.quiet(3.0)   # longer than tau: there is no slot, or it must not go out a second time
+    line.answer(200, json.dumps([{"id": n, "state": "done"} for n in ("aa01", "aa02")]).encode())
+    assert client.enqueue("aa03") == "+OK"
+    assert line.call()[1]["x-trace-id"] == "aa03"   # alone: the first is over
+    line.answer(200)
+    settled(client)
+    program.kill()
+    assert not owed(program)
