Move the answers out of the RESP frontend, and fix edge cases found on review

The core imported Taken, Busy, Failed and Refused from protocol/frontend.py; they now stand beside Request, so that another front needs nothing of RESP.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 MOST_BODY = 64 * 1024
+ROOM_OF_ONE = 200      # bytes of a batch that one message takes at most besides its body
 REST_OF_ANSWER = 1.0   # seconds that the rest of an answer may take once its outcome is known
 STATES = {"done": DELIVERED, "failed": ERROR, "busy": TURNED_AWAY, "void": NOT_SENT, "used_up": NOT_SENT}
 
@@ -143,10 +144,13 @@
                 timer.cancel()
         stream, size = self._connection.stream, 0
         for request, item in list(self.items.items()):
-            # Danger: while the connection came up a wait, a drain or an end may have been told.
-            size += len(self._requests[request].body) * 4 // 3 + 200
-            if size > MOST_BODY + 400 and len(self._requests) > 1 or not b.desk.may_go(self.server, item):
+            # Danger: while the connection came up a wait, a drain or an end may have been told. And a batch
+            # of large bodies would be too long as a whole: what does not fit goes in a call of its own.
+            room = len(self._requests[request].body) * 4 // 3 + ROOM_OF_ONE
+            if size and size + room > MOST_BODY or not b.desk.may_go(self.server, item):
                 self._end(request, NOT_SENT)
+            else:
+                size += room
         if not self.items:
             return self._connection.first is None and not stream.closed()
         await stream.write(self._encode())
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -15,7 +15,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import add_accept_handler, bind_sockets
 
-from ..state.requests import Request
+from ..state.requests import Busy, Failed, Refused, Request, Taken
 from ..state.wheel import Wheel
 from . import resp
 
@@ -27,10 +27,6 @@
 WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
 
 
-class Refused(ValueError):
-    """A command that cannot be taken, with the text for the client."""
-
-
 class Desk(Protocol):
     """What a front needs."""
 
@@ -38,25 +34,6 @@
         """Hand a request in; its `answer` is called once. Raises Refused if it can never be taken."""
 
 
-# What a front's `answer` is told.
-class Taken:
-    """The sender owes the request its end from now on."""
-
-
-class Busy:
-    """Denied; `wait` seconds are advised (0: none)."""
-
-    def __init__(self, wait: float) -> None:
-        self.wait = wait
-
-
-class Failed:
-    """Neither taken nor to be handed in again."""
-
-    def __init__(self, text: str) -> None:
-        self.text = text
-
-
 def encode(answer: Taken | Busy | Failed) -> bytes:
     match answer:
         case Taken():
@@ -110,8 +87,7 @@
                     return
                 parser.feed(await self._read(stream, parser.partial))
         except resp.Malformed as bad:
-            if not stream.closed():
-                stream.write(resp.error(f"ERR Protocol error: {bad}")).add_done_callback(_seen)
+            await self._last_words(stream, resp.error(f"ERR Protocol error: {bad}"))
         except StreamClosedError:
             pass
         finally:
@@ -119,6 +95,19 @@
             self._idle.pop(stream, None)
             stream.close()
 
+    async def _last_words(self, stream: IOStream, text: bytes) -> None:
+        """Danger: closing over bytes that were not read resets the connection, and the text is lost."""
+        timer = self._wheel.after(STALLED, stream.close)
+        try:
+            await stream.write(text)
+            stream.socket.shutdown(socket.SHUT_WR)
+            while True:
+                await stream.read_bytes(BUFFER // 2, partial=True)
+        except (StreamClosedError, OSError):
+            pass   # the client has closed too, or took too long
+        finally:
+            timer.cancel()
+
     async def _written(self, stream: IOStream, write: asyncio.Future) -> None:
         """Danger: a client that sends and never reads; its answers must neither wait for ever nor pile up."""
         timer = self._wheel.after(STALLED, stream.close)
--- a/linkdock/protocol/resp.py
+++ b/linkdock/protocol/resp.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-MOST_COMMAND = 64 * 1024   # bytes of all words of one command
+MOST_WORD = 64 * 1024      # bytes of one word, as of a body
+MOST_COMMAND = 65 * 1024   # and of all words of one command
 MOST_WORDS = 64
 MOST_LINE = 32
 
@@ -25,6 +26,7 @@
         self._words: list[bytes] = []
         self._size = 0
         self._skip = 0               # bytes of an oversize word still to pass over
+        self._oversize = False
 
     def feed(self, data: bytes) -> None:
         self._data += data
@@ -48,7 +50,7 @@
                 return None
             if count > MOST_WORDS:
                 raise Malformed("too many words")
-            self._missing, self._words, self._size = max(count, 0), [], 0
+            self._missing, self._words, self._size, self._oversize = max(count, 0), [], 0, False
         while self._missing:
             if not self._skip:
                 mark = self._at
@@ -57,19 +59,19 @@
                     return None
                 if length < 0:
                     raise Malformed("a word without length")
-                self._size += length
-                if self._size <= MOST_COMMAND:
+                if length <= MOST_WORD and self._size + length <= MOST_COMMAND:
                     end = self._at + length
                     if len(self._data) < end + 2:
-                        self._at, self._size = mark, self._size - length
+                        self._at = mark
                         return None
                     if self._data[end:end + 2] != b"\r\n":
                         raise Malformed("a word does not end where it should")
+                    self._size += length
                     self._words.append(bytes(self._data[self._at:end]))
                     self._at = end + 2
                     self._missing -= 1
                     continue
-                self._skip = length + 2
+                self._skip, self._oversize = length + 2, True
             # Danger: an oversize command must cost no more memory than a lawful one.
             passed = min(self._skip, len(self._data) - self._at)
             self._at += passed
@@ -77,7 +79,7 @@
             if self._skip:
                 return None
             self._missing -= 1
-        if self._size > MOST_COMMAND:
+        if self._oversize:
             raise Oversize("the command is longer than 64 KiB")
         return self._words
 
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -24,11 +24,10 @@
     Withdraw,
 )
 from .protocol.calls import Backend, Call
-from .protocol.frontend import Busy, Failed, Refused, Taken
 from .protocol.notices import Notices
 from .service.config import Config
 from .state.journal import Journal, Kept
-from .state.requests import Request, Requests
+from .state.requests import Busy, Failed, Refused, Request, Requests, Taken
 from .state.table import ServerTable
 
 log = logging.getLogger(__name__)
@@ -66,12 +65,11 @@
         if self._requests.full():
             request.answer(Busy(self._facade.advice(destination)))
             return
-        now = self._clock()
-        request.cls, request.until = self._config.classes[cls], now + left
+        request.cls, request.until = self._config.classes[cls], self._clock() + left
+        key = self._order_key(request)
         self._requests.add(request)
         self._asking[request.id] = request
-        self._facade.report(Take(request.id, request.cls, destination, left, self._order_key(request),
-                                 again, held))
+        self._facade.report(Take(request.id, request.cls, destination, left, key, again, held))
 
     def _order_key(self, request: Request) -> int:
         if not self._config.settings.classes[request.cls].in_order:
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -41,7 +41,10 @@
         settings, clock = config.settings, self._loop.time
         self._config = config
         self._wheel = Wheel(settings.tick, clock())
-        self._journal = Journal(config.state, int(config.disk_mb * 1e6))
+        try:
+            self._journal = Journal(config.state, int(config.disk_mb * 1e6))
+        except OSError as bad:
+            raise ConfigError(f"RELAY_STATE: {bad}") from None
         table = ServerTable(kind.apart for kind in settings.kinds)
         facade = Facade(settings, config.seed)
         if config.known:
@@ -63,7 +66,10 @@
         self.sender.restore()
         self.spawn(self._notices.run())
         self.spawn(self._watch.run())
-        self.frontend = Frontend(self.sender, config.listen, self._wheel, self.spawn, config.most_clients)
+        try:
+            self.frontend = Frontend(self.sender, config.listen, self._wheel, self.spawn, config.most_clients)
+        except OSError as bad:
+            raise ConfigError(f"listen: {bad}") from None
         self._beat()
 
     def spawn(self, work: Coroutine) -> None:
@@ -121,9 +127,13 @@
         self._loop.add_signal_handler(signal.SIGINT, self._stop.set)
         log.info("%s listens on %s:%d", self._config.name, self._config.listen[0], self.frontend.port)
         await self._stop.wait()
-        for part in (self.frontend, self._watch, self._notices, self._pool):
+        self.frontend.close()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)   # calls still put proofs on record
+        for part in (self._watch, self._notices, self._pool, self._journal):
             part.close()
-        self._journal.close()
         if self._failed is not None:
             log.error("stopped by a failure: %r", self._failed)
             return 1
--- a/linkdock/state/requests.py
+++ b/linkdock/state/requests.py
@@ -4,11 +4,40 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
+
+
+class Refused(ValueError):
+    """A request that can never be taken, with the text for its client."""
+
+
+# What the `answer` of a request is told, once.
+
+class Taken(NamedTuple):
+    """The sender owes the request its end from now on."""
+
+
+class Busy(NamedTuple):
+    """Denied; its client is advised to come again after `wait` seconds (0: no advice)."""
+
+    wait: float
+
+
+class Failed(NamedTuple):
+    """Neither taken on nor to be handed in again."""
+
+    text: str
+
+
+Answer = Taken | Busy | Failed
 
 
 @dataclass(slots=True)
 class Request:
-    """One message. `answer` is set until its client has been answered; `until` is on the loop's clock."""
+    """One message. `answer` is set until its client has been answered; `until` is on the loop's clock.
+
+    `answer` returns whether its client was still there to hear it.
+    """
 
     id: str
     key: str
@@ -16,7 +45,7 @@
     destination: int
     until: float
     body: bytes
-    answer: Callable[[object], bool] | None = None
+    answer: Callable[[Answer], bool] | None = None
 
 
 class Requests:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -34,9 +34,9 @@
 
 @pytest.mark.parametrize("size", [1, 7, 100_000, 1_000_000])
 def test_commands_are_found_in_any_pieces_and_an_oversize_one_is_skipped(size):
-    long = b"*2\r\n$1\r\nx\r\n$65536\r\n" + b"y" * 65536 + b"\r\n"
-    data = b"*1\r\n$4\r\nPING\r\n*0\r\n*2\r\n$0\r\n\r\n$2\r\n\r\n\r\n" + long + b"*1\r\n$4\r\nPING\r\n"
-    assert commands(data, size) == [[b"PING"], [b"", b"\r\n"], "oversize", [b"PING"]]
+    long, longer = [b"*2\r\n$1\r\nx\r\n$%d\r\n" % n + b"y" * n + b"\r\n" for n in (65536, 65537)]
+    data = b"*1\r\n$4\r\nPING\r\n*0\r\n*2\r\n$0\r\n\r\n$2\r\n\r\n\r\n" + longer + long
+    assert commands(data, size) == [[b"PING"], [b"", b"\r\n"], "oversize", [b"x", b"y" * 65536]]
 
 
 @pytest.mark.parametrize("size", [1, 5, 1000])
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -138,6 +138,22 @@
         line.answer(200, answer if body.startswith(b"[") else b"")
 
 
+def test_bodies_too_large_for_one_batch_go_in_calls_of_their_own(start):
+    server = Backend("s1", kind="batching")
+    program = start([server])
+    client = program.client()
+    assert client.enqueue("aa01", body=b"x" * 65536) == "+OK"
+    line, _ = server.take()
+    line.answer(429, Retry_After="0.3")
+    assert client.enqueue("aa02", body=b"x" * 65536) == "+OK"   # both go when the wait is over
+    (_, headers, body), second = line.call(), server.line()
+    (_, more, other) = second.call()
+    assert {headers["x-trace-id"], more["x-trace-id"]} == {"aa01", "aa02"}
+    assert len(body) == len(other) == 65536
+    line.answer(200)
+    second.answer(200)
+
+
 @pytest.mark.parametrize("torn", [False, True])
 def test_sigkill_repeats_what_is_safe_and_ends_what_may_have_run(start, torn):
     server, other = Backend("s1"), Backend("s2", destination=2)
