--- a/linkdock/state/pool.py
+++ b/linkdock/state/pool.py
@@ -56,10 +56,10 @@
     def open(self, server: str, dial: tuple[str, int]) -> Connection:
         """A new connection, not yet connected. The oldest idle one makes room when all are taken."""
         if self._count >= self._most:
-            idle = [c for kept in self._idle.values() for c in kept[:1]]
+            idle = [kept[0] for kept in self._idle.values() if kept]
             if not idle:
                 raise PoolFull
-            self._drop_idle(idle[0])
+            self._drop_idle(min(idle, key=lambda c: c.timer.turn))
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._count += 1
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -147,6 +147,17 @@
     assert fired[-1] == "next"
 
 
+def test_cancelled_timers_leave_nothing_on_the_wheel():
+    wheel, timers = Wheel(0.005, 100.0), []
+    for n in range(1000):
+        wheel.advance(100.0 + n / 10)
+        timers.append(wheel.after(300.0, timers.clear))
+    assert len(wheel) == 1000
+    for timer in timers:
+        timer.cancel()
+    assert len(wheel) == 0
+
+
 @pytest.mark.parametrize("apart", [False, True])
 def test_a_wait_binds_the_destination_or_where_routes_are_apart_the_server(apart):
     table = ServerTable([apart])
