Take a new discovery address on SIGHUP, for the watch and the notices

Nothing in service/run.py handled the signal, and Watch and Notices got their address once.

Now the file is read again on SIGHUP. It counts only if it is right as a whole; of it the discovery address is taken, other changed keys are logged and wait for a restart. The watch goes on at the new address from its version; a post that is out is made again there. SIGHUP is ignored before the first configuration and after the stop.

--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -94,6 +94,12 @@
         finally:
             timer.cancel()
 
+    def move(self, dial: tuple[str, int]) -> None:
+        """Discovery has another address: the watch goes on there, from the version that is known."""
+        self._dial = dial
+        if self._stream is not None:
+            self._stream.close()   # `run` opens it again
+
     def close(self) -> None:
         self._closed = True
         if self._stream is not None:
--- a/linkdock/protocol/notices.py
+++ b/linkdock/protocol/notices.py
@@ -97,6 +97,11 @@
         finally:
             timer.cancel()
 
+    def move(self, dial: tuple[str, int]) -> None:
+        """The platform has another address. What it has not confirmed is posted there, at worst once more."""
+        self._dial = dial
+        self.close()   # a post that is out fails with it and is made again
+
     def close(self) -> None:
         if self._stream is not None:
             self._stream.close()
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 
 from ..interface import DestinationKind, Effect, MessageClass, Settings
 
+log = logging.getLogger(__name__)
+
 _MISSING = object()
 EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
 
@@ -104,7 +107,7 @@
     def address(self, key: str) -> tuple[str, int]:
         value = self.get(key, str)
         host, _, port = value.rpartition(":")
-        if not host or not port.isdigit() or int(port) > 65535:
+        if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
             raise ConfigError(f"{self.name(key)} must be an address with a port, not {value!r}")
         return host, int(port)
 
@@ -132,6 +135,23 @@
     return check(told, Path(environ["RELAY_STATE"]))
 
 
+def reload(old: Config, environ: Mapping[str, str] = os.environ) -> Config:
+    """The configuration after SIGHUP: the new file if it is right as a whole, of which `discovery` is taken.
+
+    Danger: a file that is being replaced can be missing, torn or wrong, and the old one must stay in force.
+    """
+    try:
+        new = load(environ)
+    except (ConfigError, RecursionError) as bad:
+        log.error("reload: the old configuration stays: %s", bad)
+        return old
+    for key in vars(old):
+        if key not in ("discovery", "seed", "known") and getattr(new, key) != getattr(old, key):
+            log.warning("reload: %s has changed, which only a restart takes", key)
+    log.info("reload: discovery is at %s:%d", *new.discovery)
+    return replace(old, discovery=new.discovery)
+
+
 def check(told: object, state: Path) -> Config:
     """The configuration from its JSON."""
     top = _Reader(told, "")
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -18,7 +18,7 @@
 from ..state.pool import ConnectionPool
 from ..state.table import ServerTable
 from ..state.wheel import Wheel
-from .config import Config, ConfigError, load
+from .config import Config, ConfigError, load, reload
 
 log = logging.getLogger(__name__)
 
@@ -100,6 +100,13 @@
             self._failed = self._failed or bad
             self._stop.set()
 
+    def reload(self) -> None:
+        """SIGHUP: go on with what the configuration's file says now; also while stopping."""
+        old, self._config = self._config, reload(self._config)
+        if self._config.discovery != old.discovery:
+            self._watch.move(self._config.discovery)
+            self._notices.move(self._config.discovery)
+
     # --- The end.
 
     def stop(self) -> None:
@@ -124,9 +131,12 @@
 
     async def run(self) -> int:
         self._loop.add_signal_handler(signal.SIGTERM, self.stop)
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._loop.add_signal_handler(signal.SIGINT, self._stop.set)
         log.info("%s listens on %s:%d", self._config.name, self._config.listen[0], self.frontend.port)
         await self._stop.wait()
+        self._loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)   # by default it would end the process
         self.frontend.close()
         tasks = list(self._tasks)
         for task in tasks:
@@ -142,6 +152,7 @@
 
 def main() -> int:
     """Run one sender until it is told to stop."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)   # until there is something to reload
     logging.basicConfig(stream=sys.stderr, level=logging.INFO,
                         format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 ROOT = pathlib.Path(__file__).parent.parent
 PATIENCE = 8.0
@@ -200,6 +201,21 @@
     def client(self):
         return Client(self.port)
 
+    def reload(self, text=None, **changes):
+        """Put a new file in the old one's place, and say so."""
+        told = {**json.loads(self.config.read_bytes()), **changes}
+        fresh = self.config.with_suffix(".new")
+        fresh.write_text(json.dumps(told) if text is None else text)
+        fresh.replace(self.config)
+        self.process.send_signal(signal.SIGHUP)
+
+    def logged(self, text):
+        """Wait until the log says it."""
+        until = time.monotonic() + PATIENCE
+        while not any(text in line for line in self.log):
+            assert time.monotonic() < until and self.process.poll() is None, self.log
+            time.sleep(0.005)
+
     def kill(self):
         self.process.send_signal(signal.SIGKILL)
         self.wait()
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import signal
 import socket
 import time
 
@@ -484,3 +485,46 @@
     settled(client)
     program.kill()
     assert not owed(program)
+
+
+def test_sighup_moves_watch_and_notices_and_loses_neither(start):
+    server, fresh, other = Backend("s1"), Backend("s2"), Discovery()
+    program = start([server])
+    old = program.discovery
+    old.reply = None   # takes a notice and never confirms it
+    first, tell = old.watch()
+    tell(9, [fresh.row()])
+    client = program.client()
+    assert client.enqueue("aa01", "order", 16000) == "+OK"
+    socket_that_is_called([server, fresh]).take()[0].close()
+    assert old.notices.get(timeout=8)[0] is None
+    program.reload(discovery=other.dial)
+    first, tell = other.watch()
+    assert "from=9" in first
+    assert other.notice() == {"id": "aa01", "status": "undeliverable"}
+    tell(10, [server.row("gone")])
+    program.reload(discovery=other.dial)   # once more, and nothing to change
+    assert client.enqueue("aa02") == "+OK"
+    fresh.take()[0].answer(200)
+    settled(client)
+    assert old.notices.empty()
+    program.terminate()
+    program.process.send_signal(signal.SIGHUP)
+    assert program.wait() == 0
+    program.start()   # a restart reads the new file
+    assert other.watch() and old.watches.empty()
+
+
+@pytest.mark.parametrize("text, key", [
+    ('{"name": "n0", "lis', "RELAY_CONFIG"), ("[]", "the configuration must be"), ("[" * 5000, "the old"),
+    ('{"name": "", "listen": "a:1", "discovery": "a:1", "seed": "1", "settings": {}}',
+     "settings.limits is missing")])
+def test_a_file_that_cannot_be_read_on_sighup_leaves_the_old_configuration(start, text, key):
+    server = Backend("s1")
+    program = start([server])
+    program.discovery.watch()
+    program.reload(text)
+    program.logged(key)
+    assert program.client().enqueue("aa01", "order") == "+OK"
+    server.take()[0].close()
+    assert program.discovery.notice()["id"] == "aa01"
