Judge a call by its whole answer, and deliver on a first line with 200

Stray bytes on an idle connection were found only when it was used again, and those that came after that passed for the next answer.

Now the first line of a single call's 200 delivers; every other answer counts only whole, within 0.5 s of its first byte. Half-read load reports are dropped. An idle connection that speaks is given up, and rests 10 ms before its next call.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import logging
+import re
 from collections.abc import Callable
 from typing import Protocol
 
@@ -22,7 +23,8 @@
 
 MOST_BODY = 64 * 1024
 ROOM_OF_ONE = 200      # bytes of a batch that one message takes at most besides its body
-REST_OF_ANSWER = 1.0   # seconds that the rest of an answer may take once its outcome is known
+REST_OF_ANSWER = 0.5   # seconds that an answer may take from its first byte to its last
+NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,12})?\Z")
 STATES = {"done": DELIVERED, "failed": ERROR, "busy": TURNED_AWAY, "void": NOT_SENT, "used_up": NOT_SENT}
 
 
@@ -50,21 +52,24 @@
 
     def load(self, headers: dict[str, str]) -> tuple[float, float] | None:
         """The load report of an answer, if it carries one that can be read."""
-        told = {}
+        told: dict[str, float] = {}
         for part in headers.get("endpoint-load-metrics", "").split(","):
             name, _, value = part.partition("=")
-            if name.strip() in self.fields and (number := _number(value)) is not None:
-                told[name.strip()] = number
-        return (told.get("x0", 0.0), told.get("x1", 0.0)) if "x0" in told or "x1" in told else None
+            name, number = name.strip(), _number(value)
+            if name in self.fields:
+                # Danger: half a report would pass for one of a limit that is used up, or of none.
+                if number is None or name in told or name == "x0" and number > 1:
+                    return None
+                told[name] = number
+        if not told or any(name not in told for name in ("x0", "x1") if name in self.fields):
+            return None
+        return told.get("x0", 0.0), told.get("x1", 0.0)
 
 
 def _number(text: str) -> float | None:
-    """A finite number that is not negative, or None."""
-    try:
-        value = float(text)
-    except ValueError:
-        return None
-    return value if 0 <= value < float("inf") else None
+    """A number as the protocol writes it, or None. Danger: `float` also takes `nan`, `1_0` and `1e300`."""
+    text = text.strip()
+    return float(text) if NUMBER.match(text) else None
 
 
 class Call:
@@ -77,6 +82,8 @@
         self._given_up: set[str] = set()
         self._began = backend.clock()
         self._sent = False   # whether the last byte is written
+        self._single = True    # whether one answer counts for one item
+        self._spoilt = False   # whether the answer began and did not end in time
         self._connection: Connection | None = None
         self._limits = {i.request: i.limit for i in order.items}
         self._timers = {i.request: backend.wheel.after(i.limit, lambda r=i.request: self._late(r))
@@ -120,7 +127,9 @@
         except PoolFull:
             how = NOT_SENT
         except (StreamClosedError, OSError):
-            pass   # by the other side, or by giving up
+            if self._spoilt:   # else by the other side, or by giving up
+                log.warning("backend server %s: an answer without end", self.server)
+                how = ERROR
         except http.BadAnswer as bad:
             log.warning("backend server %s: %s", self.server, bad)
             how = ERROR
@@ -134,6 +143,15 @@
     async def _exchange(self) -> bool:
         b, dial = self._b, self._b.table.rows[self.server].dial
         self._connection = b.pool.take(self.server, dial)
+        while self._connection is not None and (rest := self._connection.rested_at - b.wheel.now) > 0:
+            # Danger: what still comes behind the last answer would pass for the answer to this call.
+            await b.wheel.pause(rest)
+            if not self._connection.first.done():
+                break
+            b.pool.discard(self._connection)
+            self._connection = b.pool.take(self.server, dial)
+        if not self.items:
+            return False
         if self._connection is None:
             self._connection = b.pool.open(self.server, dial)
             stream = self._connection.stream
@@ -152,7 +170,7 @@
             else:
                 size += room
         if not self.items:
-            return self._connection.first is None and not stream.closed()
+            return True
         await stream.write(self._encode())
         self._sent = True
         return await self._answer()
@@ -163,7 +181,8 @@
         headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
         dial = self._connection.dial
         requests = [self._requests[r] for r in self.items]
-        if len(requests) == 1:
+        self._single = len(requests) == 1
+        if self._single:
             headers["X-Trace-Id"] = requests[0].id
             return http.request("POST", "/v1/messages", dial, headers, requests[0].body)
         headers["Content-Type"] = "application/json"
@@ -172,11 +191,15 @@
         return http.request("POST", "/v1/messages:batch", dial, headers, body)
 
     async def _answer(self) -> bool:
+        """Read the answer, and return whether its connection can carry another call.
+
+        Danger: a spoilt answer. A single call's first line with 200 is true by itself, whatever follows; any
+        other answer counts only if the whole of it can be read, or else the call may have run.
+        """
         parser, connection = http.AnswerParser(MOST_BODY), self._connection
-        batch = len(self.items) > 1
         head, body, timer = None, b"", None
         try:
-            while not parser.whole:
+            while True:
                 read = connection.first or connection.stream.read_bytes(BUFFER, partial=True)
                 connection.first = None
                 try:
@@ -190,20 +213,30 @@
                 for part in parts:
                     if isinstance(part, http.Head):
                         head = part
-                        if not (batch and head.status == 200):
-                            self._judge(head)
-                            # The outcome is known: the rest matters only to the connection.
-                            timer = self._b.wheel.after(REST_OF_ANSWER, connection.stream.close)
                     elif isinstance(part, http.Body):
                         body += part.data
-                    elif isinstance(part, http.Whole):
-                        if batch and head.status == 200:
-                            self._judge_batch(head, body)
+                    else:
+                        self._judge(head, body)
                         return part.keep
+                if self._single and parser.status == 200 and self.items:
+                    if head is not None:
+                        self._judge(head, body)
+                    self._delivered()
+                if timer is None and parser.begun:
+                    timer = self._b.wheel.after(REST_OF_ANSWER, self._without_end)
         finally:
             if timer is not None:
                 timer.cancel()
-        return False
+            if self._single and parser.status == 200:
+                self._delivered()
+
+    def _delivered(self) -> None:
+        for request in list(self.items):
+            self._end(request, DELIVERED)
+
+    def _without_end(self) -> None:
+        self._spoilt = True
+        self._connection.stream.close()
 
     def _said(self, head: http.Head) -> dict:
         """What every answer may tell besides its outcome: a wait and a load report."""
@@ -212,10 +245,12 @@
             self._b.table.told_wait(self.server, self._b.clock() + wait)
         return {"wait": wait, "load": self._b.load(head.headers)}
 
-    def _judge(self, head: http.Head) -> None:
+    def _judge(self, head: http.Head, body: bytes) -> None:
         """The protocol's table: one answer, and the outcome of every item in the call."""
         more = self._said(head)
         match head.status:
+            case 200 if not self._single:
+                return self._judge_batch(body, more)
             case 200:
                 how = DELIVERED
             case 429:
@@ -234,18 +269,20 @@
         for request in list(self.items):
             self._end(request, how, **more)
 
-    def _judge_batch(self, head: http.Head, body: bytes) -> None:
-        more, states = self._said(head), {}
+    def _judge_batch(self, body: bytes, more: dict) -> None:
+        states = {}
         try:
-            for line in json.loads(body):
-                states[line["id"]] = line["state"]
-        except (ValueError, TypeError, KeyError) as bad:
+            lines = json.loads(body)
+            if not isinstance(lines, list) or not all(STATES[line["state"]] for line in lines):
+                raise ValueError("no list of states")
+            states = {str(line["id"]): line["state"] for line in lines}
+        except (ValueError, TypeError, KeyError, RecursionError) as bad:
+            # Danger: any JSON may come. An item without a state that can be read may have run.
             log.warning("backend server %s: batch answer: %s", self.server, bad)
         for request in list(self.items):
             state = states.get(request)
-            # An item without a state that can be read may have run.
-            self._end(request, STATES.get(state, ERROR) if isinstance(state, str) else ERROR,
-                      **more, over=state in ("void", "used_up"), owed=state == "used_up")
+            self._end(request, STATES.get(state, ERROR), **more, over=state in ("void", "used_up"),
+                      owed=state == "used_up")
         for request in self._given_up:
             if states.get(request) == "done":
                 self._b.desk.delivered_late(request)
--- a/linkdock/protocol/http.py
+++ b/linkdock/protocol/http.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 MOST_HEAD = 16 * 1024
+START = b"HTTP/1."
+# Danger: `isdigit` and `int` take signs, underscores and digits of other scripts.
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-9][0-9]{2})(?: [^\r\n]*)?\Z")
+HEADER = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n\0]*?)[ \t]*\Z")
+LENGTH = re.compile(r"[0-9]{1,12}\Z", re.ASCII)
+CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?\Z")
 
 
 class BadAnswer(ValueError):
@@ -42,7 +49,8 @@
 class AnswerParser:
     """Reads one answer: feed it bytes, get `Head`, `Body` and `Whole` in turn.
 
-    `eof` ends a body without length.
+    `eof` ends a body without length. `status` is known as soon as the first line is whole, also where what
+    follows cannot be read; `begun` tells that the answer has begun, beyond any 1xx ahead of it.
     """
 
     def __init__(self, most_body: int | None = 64 * 1024) -> None:
@@ -51,8 +59,13 @@
         self._step = self._head
         self._left = 0
         self._keep = True
+        self.status: int | None = None
         self.whole = False
 
+    @property
+    def begun(self) -> bool:
+        return self.status is not None or bool(self._data)
+
     def feed(self, data: bytes) -> list[Head | Body | Whole]:
         self._data += data
         parts: list[Head | Body | Whole] = []
@@ -80,35 +93,48 @@
         return line
 
     def _head(self, parts: list) -> bool:
-        end = self._data.find(b"\r\n\r\n")
+        if not self._data.startswith(START[:len(self._data)]):
+            raise BadAnswer(f"no status line: {bytes(self._data[:60])!r}")
+        first_end, end = self._data.find(b"\r\n"), self._data.find(b"\r\n\r\n")
+        if first_end < 0:
+            if len(self._data) > MOST_HEAD:
+                raise BadAnswer("a first line without end")
+            return False
+        first = STATUS_LINE.match(self._data[:first_end])
+        if first is None:
+            raise BadAnswer(f"no status line: {bytes(self._data[:60])!r}")
+        status = int(first[1])
+        self.status = status if status >= 200 else None
         if end < 0:
             if len(self._data) > MOST_HEAD:
                 raise BadAnswer("a head without end")
             return False
-        first, *lines = bytes(self._data[:end]).decode("latin-1").split("\r\n")
+        version, *lines = bytes(self._data[:end]).decode("latin-1").split("\r\n")
         del self._data[:end + 4]
-        words = first.split(" ", 2)
-        if len(words) < 2 or not words[0].startswith("HTTP/1.") or not words[1].isdigit():
-            raise BadAnswer(f"no status line: {first[:60]!r}")
-        status = int(words[1])
-        headers = {}
+        headers: dict[str, str] = {}
         for line in lines:
-            name, colon, value = line.partition(":")
-            if not colon:
+            header = HEADER.match(line)
+            if header is None:
                 raise BadAnswer(f"no header: {line[:60]!r}")
-            headers[name.strip().lower()] = value.strip()
-        if 100 <= status < 200:
+            name, value = header[1].lower(), header[2]
+            headers[name] = f"{headers[name]}, {value}" if name in headers else value
+        if status < 200:
             return True
-        self._keep = words[0] == "HTTP/1.1" and headers.get("connection", "").lower() != "close"
+        self._keep = version.startswith("HTTP/1.1 ") and "close" not in headers.get("connection", "").lower()
         parts.append(Head(status, headers))
+        length, coding = headers.get("content-length"), headers.get("transfer-encoding")
+        if length is not None and (coding is not None or not LENGTH.match(length)):
+            raise BadAnswer(f"a length that cannot be right: {length[:60]!r}")
         if status in (204, 304):
             return self._finish(parts)
-        if headers.get("transfer-encoding", "").lower() == "chunked":
+        if coding is not None:
+            if coding.lower() != "chunked":
+                raise BadAnswer(f"an unknown coding: {coding[:60]!r}")
             self._step = self._chunk_size
-        elif "content-length" in headers:
-            if not headers["content-length"].isdigit():
-                raise BadAnswer("a length that is no number")
-            self._left = int(headers["content-length"])
+        elif length is not None:
+            self._left = int(length)
+            if self._most is not None and self._left > self._most:
+                raise BadAnswer("the body is too long")   # at once, however slowly it comes
             self._step = self._counted
         else:
             self._step = self._until_close
@@ -141,10 +167,12 @@
         line = self._line()
         if line is None:
             return False
-        try:
-            self._left = int(line.split(b";")[0], 16)
-        except ValueError:
-            raise BadAnswer("a chunk size that is no number") from None
+        size = CHUNK_SIZE.match(line)
+        if size is None:
+            raise BadAnswer("a chunk size that is no number")
+        self._left = int(size[1], 16)
+        if self._most is not None and self._size + self._left > self._most:
+            raise BadAnswer("the body is too long")
         self._step = self._chunk if self._left else self._trailer
         return True
 
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -59,9 +59,9 @@
         self._pool = ConnectionPool(self._wheel, idle_for, config.most_backends)
         self.sender.backend = Backend(self.sender, table, self._pool, self._wheel, clock,
                                       settings.connect_timeout, config.fields)
-        self._notices = self.sender.notices = Notices(config.discovery, self._wheel, self.pause,
+        self._notices = self.sender.notices = Notices(config.discovery, self._wheel, self._wheel.pause,
                                                       self.sender.confirmed)
-        self._watch = Watch(config.discovery, self._wheel, self.pause, config.zones, config.kinds,
+        self._watch = Watch(config.discovery, self._wheel, self._wheel.pause, config.zones, config.kinds,
                             lambda: table.version, self.sender.news)
         self.sender.restore()
         self.spawn(self._notices.run())
@@ -83,11 +83,6 @@
         if not task.cancelled() and task.exception() is not None:
             log.error("a task failed", exc_info=task.exception())
 
-    async def pause(self, seconds: float) -> None:
-        done = self._loop.create_future()
-        self._wheel.after(seconds, lambda: done.done() or done.set_result(None))
-        await done
-
     def _beat(self) -> None:
         """Once a tick: timers, then decisions."""
         self._loop.call_at(self._loop.time() + self._wheel.tick, self._beat)
--- a/linkdock/state/pool.py
+++ b/linkdock/state/pool.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import socket
+from asyncio import Future
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from .wheel import Timer, Wheel
 
 BUFFER = 256 * 1024   # of one connection: an answer holds at most a body of 64 KiB and its head
+BEHIND = 0.01         # seconds after an answer in which more than belongs to it may still come
 
 
 class PoolFull(Exception):
@@ -18,12 +20,13 @@
 class Connection:
     """One connection to a backend server, owned by the pool while idle and by one call while in use."""
 
-    __slots__ = ("server", "dial", "stream", "timer", "first")
+    __slots__ = ("server", "dial", "stream", "timer", "first", "rested_at")
 
     def __init__(self, server: str, dial: tuple[str, int], stream: IOStream) -> None:
         self.server, self.dial, self.stream = server, dial, stream
         self.timer: Timer | None = None
-        self.first = None   # the read that waits for the next answer
+        self.first = None       # the read that waits for the next answer
+        self.rested_at = 0.0    # on the wheel's clock: until then more may come behind the last answer
 
 
 class ConnectionPool:
@@ -35,28 +38,33 @@
         self._count = 0
 
     def take(self, server: str, dial: tuple[str, int]) -> Connection | None:
-        """An idle connection that is known to be alive, the freshest first, with its first read begun."""
+        """An idle connection that is alive, the freshest first, with its first read begun."""
         while kept := self._idle.get(server):
-            connection = kept.pop()
-            connection.timer.cancel()
-            if connection.dial == dial and not connection.stream.closed():
-                # Danger: the other side closed it, or spoke out of turn, and the loop has not come to it yet.
-                # A request written now would be reset, which an unsafe one does not survive; so read first.
-                try:
-                    connection.first = connection.stream.read_bytes(BUFFER, partial=True)
-                except StreamClosedError:
-                    pass
-                if connection.first is not None:
-                    if not connection.first.done():
-                        return connection
-                    connection.first.exception()
+            connection = kept[-1]
+            self._remove(connection)
+            if connection.dial == dial and not connection.first.done() and self._silent(connection):
+                return connection
             self.discard(connection)
         return None
 
+    @staticmethod
+    def _silent(connection: Connection) -> bool:
+        """Danger: the other side closed it, or spoke out of turn, and the loop has not come to it yet.
+
+        A request written now would be reset, which an unsafe one does not survive, or get a stray answer.
+        """
+        try:
+            connection.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except (OSError, AttributeError):   # reset; closed
+            pass
+        return False
+
     def open(self, server: str, dial: tuple[str, int]) -> Connection:
         """A new connection, not yet connected. The oldest idle one makes room when all are taken."""
         if self._count >= self._most:
-            idle = [kept[0] for kept in self._idle.values() if kept]
+            idle = [kept[0] for kept in self._idle.values()]
             if not idle:
                 raise PoolFull
             self._drop_idle(min(idle, key=lambda c: c.timer.turn))
@@ -66,25 +74,39 @@
         return Connection(server, dial, IOStream(sock, max_buffer_size=BUFFER))
 
     def give_back(self, connection: Connection) -> None:
-        """The call is over and the connection can carry another, for as long as it may lie idle."""
-        if connection.stream.closed():
+        """The call is over and the connection can carry another, while it lies idle in silence."""
+        try:
+            if connection.first is None:
+                connection.first = connection.stream.read_bytes(BUFFER, partial=True)
+        except StreamClosedError:
             return self.discard(connection)
-        connection.first = None
+        connection.rested_at = self._wheel.now + BEHIND
         connection.timer = self._wheel.after(self._idle_for, lambda: self._drop_idle(connection))
-        connection.stream.set_close_callback(lambda: self._drop_idle(connection))
         self._idle.setdefault(connection.server, []).append(connection)
+        connection.first.add_done_callback(lambda read: self._spoke(connection, read))
+
+    def _spoke(self, connection: Connection, read: Future) -> None:
+        """Danger: a server that sends more than it was asked for, on and on, while nobody reads it."""
+        if not read.cancelled():
+            read.exception()
+        self._drop_idle(connection)
 
     def discard(self, connection: Connection) -> None:
         """The call is over and so is the connection."""
-        connection.stream.set_close_callback(None)
         connection.stream.close()
         self._count -= 1
 
+    def _remove(self, connection: Connection) -> None:
+        """It is not idle any more; a server without idle connections leaves nothing behind."""
+        kept = self._idle[connection.server]
+        kept.remove(connection)
+        if not kept:
+            del self._idle[connection.server]
+        connection.timer.cancel()
+
     def _drop_idle(self, connection: Connection) -> None:
-        kept = self._idle.get(connection.server, [])
-        if connection in kept:
-            kept.remove(connection)
-            connection.timer.cancel()
+        if connection in self._idle.get(connection.server, ()):
+            self._remove(connection)
             self.discard(connection)
 
     def retire(self, server: str) -> None:
--- a/linkdock/state/wheel.py
+++ b/linkdock/state/wheel.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
 
 
@@ -36,6 +37,12 @@
         self._spokes.setdefault(turn, set()).add(timer)
         return timer
 
+    async def pause(self, seconds: float) -> None:
+        """Let others run for so long."""
+        done = asyncio.get_running_loop().create_future()
+        self.after(seconds, lambda: done.done() or done.set_result(None))
+        await done
+
     def remove(self, timer: Timer) -> None:
         """Take a timer back; one that has fired is passed over."""
         spoke = self._spokes.get(timer.turn)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -7,7 +7,7 @@
 from peers import settings
 
 from linkdock import facade
-from linkdock.protocol import http, resp
+from linkdock.protocol import calls, http, resp
 from linkdock.service import config
 from linkdock.state.journal import Journal, Kept
 from linkdock.state.table import ServerTable
@@ -60,12 +60,26 @@
 
 @pytest.mark.parametrize("text", [
     b"\n" * 20_000, b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n" + b"x" * 70_000,
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"])
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"ICY 200",
+    b"HTTP/1.1 2\xb20 OK\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: \xb2\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-2\r\nhi",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", b"HTTP/1.1 200 OK\r\n folded: x\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nhi"])
 def test_what_is_no_answer_is_said_to_be_none(text):
     with pytest.raises(http.BadAnswer):
         http.AnswerParser().feed(text)
 
 
+@pytest.mark.parametrize("told, load", [
+    ("x0=0.4,x1=25", (0.4, 25.0)), (" x1=25 , x0=1, y=?", (1.0, 25.0)), ("", None), ("x1=25", None),
+    ("x0=0.4", None),
+    ("x0=nan,x1=25", None), ("x0=0.4,x1=inf", None), ("x0=0.4,x1=1e300", None), ("x0=-0.1,x1=25", None),
+    ("x0=0.4,x1=2_5", None), ("x0=1.4,x1=25", None), ("x0=0.4,x0=0.4,x1=25", None), ("x0=0.4,x1=²5", None)])
+def test_a_load_report_counts_whole_or_not_at_all(told, load):
+    backend = calls.Backend(None, None, None, None, None, 1.0, ["x0", "x1"])
+    assert backend.load({"endpoint-load-metrics": told}) == load
+
+
 # --- Journal.
 
 def kept(n, size=100):
