Answer or close bad clients in time, and keep sockets and turns for usual ones

The log showed 12 answers 400 in 0.4 s: one foreign message, sent again until its attempts were spent (calls.py _judge).

Now a command must be whole 2 s after connecting or its first byte; errors come at once and slow their connection; several commands at once are refused whole; ids are remembered 5 s beyond their end; who has an error or half a command makes room first, never who has just sent. What a server cannot use ends its message, and those that shared its call go alone.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -262,8 +262,13 @@
             case 504:
                 how, more["over"], more["owed"] = NOT_SENT, True, True
             case 400 | 413:
+                # Danger: a message that no server can use would spoil each call that it shares, again and again.
+                # Alone, it ends by this; of several each goes alone from now on.
                 how = NOT_SENT
-                log.error("backend server %s could not read a call: %d", self.server, head.status)
+                more["over"] = more["owed"] = self._single
+                for request in self._requests.values():
+                    request.alone = True
+                log.error("backend server %s turned away what it cannot use: %d", self.server, head.status)
             case _:
                 how = ERROR
         for request in list(self.items):
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -18,12 +18,18 @@
 from ..state.requests import Busy, Failed, Refused, Request, Taken
 from ..state.wheel import Wheel
 from . import resp
+from .streams import seen, silent
 
 log = logging.getLogger(__name__)
 
 BUFFER = 128 * 1024    # of one connection: one command, and the start of a next
-STALLED = 5.0          # seconds for the rest of a command that has begun
-IDLE = 300.0           # seconds without a command before a connection is closed
+WHOLE = 2.0            # seconds from connecting, or from a later command's first byte, to the command's last
+IDLE = 5.0             # seconds without a command before a connection is closed
+STALLED = 2.0          # seconds for a client to read an answer
+LAST_READS = 8         # reads, and seconds, for what comes after the last answer on a connection
+LAST = 0.5
+PENALTY = 0.05         # seconds that a connection waits after its first error; each further one adds as much
+MOST_ERRORS = 10       # of one connection
 WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
 
 
@@ -46,125 +52,193 @@
 
 
 class Frontend:
-    """Owner of the listening socket and of every client's connection."""
+    """Owner of the listening socket and of every client's connection.
 
-    def __init__(self, desk: Desk, listen: tuple[str, int], wheel: Wheel, spawn: Callable, most: int) -> None:
-        self._desk, self._wheel, self._spawn, self._most = desk, wheel, spawn, most
-        self._idle: dict[IOStream, None] = {}   # between requests, the longest first
-        self._streams: set[IOStream] = set()
+    Danger: bad clients, which connect by hundreds, say nothing or half a command, or send at full speed
+    what cannot be read. Each hears an error or a close in time, and what they may take of sockets, memory and
+    turns is bounded: the usual clients, which send one whole command and wait for its answer, come first.
+    """
+
+    def __init__(self, desk: Desk, listen: tuple[str, int], wheel: Wheel, spawn: Callable, most: int,
+                 most_held: int) -> None:
+        self._desk, self._wheel, self._spawn = desk, wheel, spawn
+        self._most, self._most_held = most, most_held
+        self._reads: dict[IOStream, asyncio.Future] = {}   # every connection, with its next read
+        self._bad: dict[IOStream, None] = {}     # after an error, the longest first
+        self._begun: dict[IOStream, int] = {}    # waiting for the rest of a command: the bytes held so far
+        self._idle: dict[IOStream, None] = {}    # between requests, the longest first
         self._closing = False
         self._sockets = bind_sockets(listen[1], listen[0], family=socket.AF_INET, backlog=512)
         self.port = self._sockets[0].getsockname()[1]
         self._removers = [add_accept_handler(s, self._accepted) for s in self._sockets]
 
     def _accepted(self, sock: socket.socket, _address: object) -> None:
-        # Danger: more clients than sockets. Between requests a connection may be closed, and its client comes
-        # again; where none is between requests the new one has not been read yet, and comes again too.
-        if len(self._streams) >= self._most:
-            if not self._idle:
-                sock.close()
-                return
-            next(iter(self._idle)).close()
+        if len(self._reads) >= self._most and not self._make_room():
+            sock.close()   # all are in the middle of a request; its client has not been read, and comes again
+            return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(sock, max_buffer_size=BUFFER, max_write_buffer_size=BUFFER)
-        self._streams.add(stream)
+        try:
+            self._reads[stream] = self._read(stream)
+        except StreamClosedError:
+            return
+        self._begun[stream] = 0
         self._spawn(self._serve(stream))
 
+    @staticmethod
+    def _read(stream: IOStream) -> asyncio.Future:
+        read = stream.read_bytes(BUFFER // 2, partial=True)
+        read.add_done_callback(seen)
+        return read
+
+    def _make_room(self) -> bool:
+        """Close the connection that is least missed; not one on which a command may just have come."""
+        if self._bad:
+            self._drop(next(iter(self._bad)))
+            return True
+        for waiting in (self._begun, self._idle):
+            for stream in waiting:
+                if silent(stream, self._reads[stream]):
+                    self._drop(stream)
+                    return True
+        return False
+
+    def _drop(self, stream: IOStream) -> None:
+        """The one place where a connection is given back; its `_serve` ends by it, or with it."""
+        for part in (self._reads, self._bad, self._begun, self._idle):
+            part.pop(stream, None)
+        stream.close()
+
     async def _serve(self, stream: IOStream) -> None:
-        parser = resp.CommandParser()
+        parser, errors = resp.CommandParser(), 0
+        due: float | None = self._wheel.now + WHOLE   # the command's end; none between commands
         try:
-            while True:
+            while stream in self._reads:
                 # Danger: a client that sends without pause. What is there already is answered without
                 # waiting, so that nobody else and no tick would get a turn.
                 await asyncio.sleep(0)
                 try:
                     words = parser.next()
-                except resp.Oversize as bad:
-                    await self._written(stream, stream.write(resp.error(f"ERR {bad}")))
-                    continue
-                if words is not None:
+                    if words is None:
+                        if self._closing and not parser.partial:
+                            return
+                        data = await self._more(stream, parser, due)
+                        due = due or self._wheel.now + WHOLE
+                        parser.feed(data)
+                        continue
+                    due = None
+                    if parser.partial:
+                        raise resp.Malformed("one command at a time")
                     if not await self._command(stream, words):
                         return
-                    continue
-                if self._closing and not parser.partial:
-                    return
-                parser.feed(await self._read(stream, parser.partial))
+                except (Refused, resp.Oversize) as bad:
+                    errors += 1
+                    await self._written(stream, resp.error(f"ERR {bad}"))
+                    if errors >= MOST_ERRORS:
+                        return
+                    self._bad[stream] = None
+                    await self._wheel.pause(PENALTY * errors)
+                    self._bad.pop(stream, None)
         except resp.Malformed as bad:
+            self._bad[stream] = None
             await self._last_words(stream, resp.error(f"ERR Protocol error: {bad}"))
         except StreamClosedError:
             pass
         finally:
-            self._streams.discard(stream)
-            self._idle.pop(stream, None)
-            stream.close()
+            self._drop(stream)
 
     async def _last_words(self, stream: IOStream, text: bytes) -> None:
         """Danger: closing over bytes that were not read resets the connection, and the text is lost."""
-        timer = self._wheel.after(STALLED, stream.close)
+        timer = self._wheel.after(LAST, stream.close)
         try:
             await stream.write(text)
             stream.socket.shutdown(socket.SHUT_WR)
-            while True:
-                await stream.read_bytes(BUFFER // 2, partial=True)
-        except (StreamClosedError, OSError):
+            for _ in range(LAST_READS):
+                await self._reads[stream]
+                await asyncio.sleep(0)
+                self._reads[stream] = self._read(stream)
+        except (StreamClosedError, OSError, KeyError):
             pass   # the client has closed too, or took too long
         finally:
             timer.cancel()
 
-    async def _written(self, stream: IOStream, write: asyncio.Future) -> None:
+    async def _written(self, stream: IOStream, data: bytes | asyncio.Future) -> None:
         """Danger: a client that sends and never reads; its answers must neither wait for ever nor pile up."""
         timer = self._wheel.after(STALLED, stream.close)
         try:
-            await write
+            await (stream.write(data) if isinstance(data, bytes) else data)
         finally:
             timer.cancel()
 
-    async def _read(self, stream: IOStream, begun: bool) -> bytes:
-        if not begun:
+    async def _more(self, stream: IOStream, parser: resp.CommandParser, due: float | None) -> bytes:
+        """The next bytes. Danger: a trickle must not put off the deadline of a command that has begun."""
+        if due is None:
             self._idle[stream] = None
-        timer = self._wheel.after(STALLED if begun else IDLE, stream.close)
+            timer = self._wheel.after(IDLE, lambda: self._close_idle(stream))
+        else:
+            self._begun[stream] = parser.held
+            while sum(self._begun.values()) > self._most_held:
+                self._drop(max(self._begun, key=self._begun.get))
+            timer = self._wheel.after(due - self._wheel.now, stream.close)
         try:
-            return await stream.read_bytes(BUFFER // 2, partial=True)
+            if stream not in self._reads:
+                raise StreamClosedError
+            data = await self._reads[stream]
+            self._reads[stream] = self._read(stream)
+            return data
         finally:
             timer.cancel()
+            # From here on a command may have come, and nobody may close over it.
             self._idle.pop(stream, None)
+            self._begun.pop(stream, None)
+
+    def _close_idle(self, stream: IOStream) -> None:
+        """Danger: a request that has just come must not be met by a close."""
+        if silent(stream, self._reads[stream]):
+            stream.close()
 
     async def _command(self, stream: IOStream, words: list[bytes]) -> bool:
         """Answer one command; whether the connection goes on."""
         name = words[0].upper()
         if name == b"ENQUEUE":
-            answered = asyncio.get_running_loop().create_future()
-            writes = []
-
-            def answer(said: Taken | Busy | Failed) -> bool:
-                """Write at once, so that the client hears it before any dispatch; False if it has gone."""
-                gone = stream.closed()
-                if not gone:
-                    writes.append(stream.write(encode(said)))
-                    writes[0].add_done_callback(_seen)
-                if not answered.done():
-                    answered.set_result(None)
-                return not gone
-
-            try:
-                self._enqueue(words, answer)
-            except Refused as bad:
-                answer(Failed(str(bad)))
-            stream.set_close_callback(lambda: answered.done() or answered.set_result(None))
-            await answered   # its deadline is the desk's: every request is answered at its next tick
-            if writes:
-                await self._written(stream, writes[0])
-            return not stream.closed()
+            await self._written(stream, await self._enqueue(stream, words))
+            return True
         if name == b"PING":
             reply = resp.simple("PONG")
         elif name == b"QUIT":
             reply = resp.simple("OK")
         else:
-            reply = resp.error(f"ERR unknown command '{words[0][:32].decode('ascii', 'replace')}'")
-        await self._written(stream, stream.write(reply))
+            raise Refused(f"unknown command '{words[0][:32].decode('ascii', 'replace')}'")
+        await self._written(stream, reply)
         return name != b"QUIT"
 
-    def _enqueue(self, words: list[bytes], answer: Callable) -> None:
+    async def _enqueue(self, stream: IOStream, words: list[bytes]) -> asyncio.Future:
+        """Hand a message in; the write of its answer."""
+        answered, writes, read = asyncio.get_running_loop().create_future(), [], self._reads[stream]
+
+        def told() -> None:
+            if not answered.done():
+                answered.set_result(None)
+
+        def answer(said: Taken | Busy | Failed) -> bool:
+            """Write at once, so that the client hears it before any dispatch; False if it was not for it."""
+            # Danger: a client that has gone, or sends on before its answer, must not be held to be taken on.
+            there = silent(stream, read)
+            if there:
+                writes.append(stream.write(encode(said)))
+                writes[0].add_done_callback(seen)
+            told()
+            return there
+
+        self._ask(words, answer)
+        read.add_done_callback(lambda _: told())
+        await answered   # its deadline is the desk's: every request is answered at its next tick
+        if not writes:
+            await read   # raises if the client has gone
+            raise resp.Malformed("one command at a time")
+        return writes[0]
+
+    def _ask(self, words: list[bytes], answer: Callable) -> None:
         if len(words) != 5:
             raise Refused("wrong number of arguments for 'enqueue'")
         _, key, name, pairs, body = words
@@ -173,7 +247,7 @@
         told = {}
         for pair in pairs.decode("latin-1").split(","):
             what, equals, value = pair.partition("=")
-            if not equals:
+            if not equals or what in told:
                 raise Refused("malformed list of names and values")
             told[what] = value
         for what in ("c", "d", "dest"):
@@ -182,7 +256,7 @@
         for what in ("d", "dest"):
             if not (told[what].isascii() and told[what].isdigit()) or len(told[what]) > 9:
                 raise Refused(f"{what} is not a whole number")
-        request = Request(name.decode(), key.decode(), 0, int(told["dest"]), 0.0, body, answer)
+        request = Request(name.decode(), key.decode(), 0, int(told["dest"]), 0.0, body, answer=answer)
         self._desk.ask(told["c"], int(told["dest"]), int(told["d"]) / 1000, request,
                        told.get("r") == "1", told.get("again") == "1")
 
@@ -196,14 +270,8 @@
         for sock in self._sockets:
             sock.close()
         for stream in list(self._idle):
-            stream.close()
+            self._close_idle(stream)
 
     def close(self) -> None:
-        for stream in list(self._streams):
-            stream.close()
-
-
-def _seen(future: asyncio.Future) -> None:
-    """A client that goes before its answer is written is no news."""
-    if not future.cancelled():
-        future.exception()
+        for stream in list(self._reads):
+            self._drop(stream)
--- a/linkdock/protocol/resp.py
+++ b/linkdock/protocol/resp.py
@@ -6,6 +6,8 @@
 MOST_COMMAND = 65 * 1024   # and of all words of one command
 MOST_WORDS = 64
 MOST_LINE = 32
+MOST_EMPTY = 8              # commands without a word on end
+MOST_SKIP = 256 * 1024      # bytes of an oversize word that are passed over to reach the next command
 
 
 class Malformed(ValueError):
@@ -13,7 +15,7 @@
 
 
 class Oversize(ValueError):
-    """A command that is too long. It was skipped, and the next one can be read."""
+    """A command that is too long. It is said once, at once; the rest is skipped, and the next can be read."""
 
 
 class CommandParser:
@@ -36,6 +38,11 @@
         """Whether a command has begun that is not whole yet."""
         return bool(self._data) or self._missing > 0
 
+    @property
+    def held(self) -> int:
+        """Bytes that are kept for the rest of a command."""
+        return len(self._data) + self._size
+
     def next(self) -> list[bytes] | None:
         try:
             return self._next()
@@ -44,12 +51,16 @@
             self._at = 0
 
     def _next(self) -> list[bytes] | None:
+        empty = 0
         while not self._missing:
             count = self._number(b"*")
             if count is None:
                 return None
             if count > MOST_WORDS:
                 raise Malformed("too many words")
+            empty += count <= 0
+            if empty > MOST_EMPTY:   # nobody else would get a turn
+                raise Malformed("nothing but empty commands")
             self._missing, self._words, self._size, self._oversize = max(count, 0), [], 0, False
         while self._missing:
             if not self._skip:
@@ -71,7 +82,13 @@
                     self._at = end + 2
                     self._missing -= 1
                     continue
-                self._skip, self._oversize = length + 2, True
+                if length > MOST_SKIP:
+                    raise Malformed("a word is far too long")
+                self._skip, self._words, self._size = length + 2, [], 0
+                if not self._oversize:
+                    # Danger: a client that sends such a word slowly, or never ends it, is owed its error now.
+                    self._oversize = True
+                    raise Oversize("the command is longer than 64 KiB")
             # Danger: an oversize command must cost no more memory than a lawful one.
             passed = min(self._skip, len(self._data) - self._at)
             self._at += passed
@@ -80,7 +97,7 @@
                 return None
             self._missing -= 1
         if self._oversize:
-            raise Oversize("the command is longer than 64 KiB")
+            return self._next()   # it has been said, and the next may be there
         return self._words
 
     def _number(self, mark: bytes) -> int | None:
@@ -93,7 +110,7 @@
                 raise Malformed("a length without end")
             return None
         digits = bytes(self._data[self._at + 1:end])
-        if not digits.removeprefix(b"-").isdigit():
+        if not digits.removeprefix(b"-").isdigit():   # of bytes: 0 to 9 alone
             raise Malformed("a length that is no number")
         self._at = end + 2
         return int(digits)
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -32,6 +32,8 @@
 
 log = logging.getLogger(__name__)
 
+REMEMBERED, MOST_REMEMBERED = 5.0, 4096   # seconds for which ended requests are remembered, and how many
+
 
 class Sender:
     """The desk between fronts, decisions and calls. It owns the requests and runs the decisions' ticks."""
@@ -43,6 +45,7 @@
         self._requests = Requests(config.settings.max_open)
         self._asking: dict[str, Request] = {}      # not answered yet
         self._calls: dict[tuple[str, int], Call] = {}
+        self._over: dict[str, float] = {}          # ended lately: until when that is remembered
         self._unsafe_until: float | None = None    # set while stopping
         self.backend: Backend
         self.notices: Notices
@@ -55,11 +58,14 @@
             raise Refused("unknown class")
         if not self._table.knows(destination):
             raise Refused("unknown destination")
+        if left > 2 * self._config.settings.classes[self._config.classes[cls]].deadline:
+            raise Refused("d is beyond the deadline of its class")
         known = self._requests.get(request.id)
-        if known is not None:
-            # The client came again over a new connection: what is owed is owed once.
-            if known.answer is not None:
-                raise Refused("this id is being handed in already")
+        if known is not None and known.answer is not None:
+            raise Refused("this id is being handed in already")
+        if known is not None or self._over.get(request.id, 0.0) > self._clock():
+            # The client came again over a new connection: what is owed is owed once. Danger: or another
+            # client uses the id, and its message would go out under it once the first is over.
             request.answer(Taken())
             return
         if self._requests.full():
@@ -161,7 +167,8 @@
         items, requests = [], []
         for item in order.items:
             request = self._requests.get(item.request)
-            if request is None or self._held_back(request, now):
+            apart = request is not None and items and (request.alone or requests[0].alone)
+            if request is None or apart or self._held_back(request, now):
                 self.ended(order.server, item, "not sent", 0.0)
                 continue
             left = request.until - now
@@ -222,6 +229,10 @@
         if self._requests.get(request) is None:
             return
         self._requests.remove(request)
+        now = self._clock()
+        while self._over and (len(self._over) >= MOST_REMEMBERED or next(iter(self._over.values())) <= now):
+            del self._over[next(iter(self._over))]
+        self._over[request] = now + REMEMBERED
         if notice is None:
             self._journal.end(request)
         else:
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -49,8 +49,17 @@
 
     @property
     def most_clients(self) -> int:
-        """A third of the sockets, and no more buffers than a third of the memory holds."""
-        return max(8, min(self.sockets // 3, int(self.memory_mb * 1e6 / 3) // (2 * 128 * 1024)))
+        """A third of the sockets, which the usual clients' requests may take, and as many for others.
+
+        At 32 KB each, the others take a quarter of the memory at most.
+        """
+        usual = self.sockets // 3
+        return usual + max(4, min(usual - 16, int(self.memory_mb * 1e6 / 4) // 32_000))
+
+    @property
+    def most_held(self) -> int:
+        """Bytes of commands that are not whole yet: an eighth of the memory."""
+        return int(self.memory_mb * 1e6 / 8)
 
     @property
     def most_backends(self) -> int:
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -67,7 +67,8 @@
         self.spawn(self._notices.run())
         self.spawn(self._watch.run())
         try:
-            self.frontend = Frontend(self.sender, config.listen, self._wheel, self.spawn, config.most_clients)
+            self.frontend = Frontend(self.sender, config.listen, self._wheel, self.spawn, config.most_clients,
+                                     config.most_held)
         except OSError as bad:
             raise ConfigError(f"listen: {bad}") from None
         self._beat()
--- a/linkdock/state/pool.py
+++ b/linkdock/state/pool.py
@@ -7,6 +7,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from ..protocol.streams import seen, silent
 from .wheel import Timer, Wheel
 
 BUFFER = 256 * 1024   # of one connection: an answer holds at most a body of 64 KiB and its head
@@ -42,25 +43,13 @@
         while kept := self._idle.get(server):
             connection = kept[-1]
             self._remove(connection)
-            if connection.dial == dial and not connection.first.done() and self._silent(connection):
+            # Danger: the other side closed it, or spoke out of turn. A request written now would be reset,
+            # which an unsafe one does not survive, or get a stray answer.
+            if connection.dial == dial and silent(connection.stream, connection.first):
                 return connection
             self.discard(connection)
         return None
 
-    @staticmethod
-    def _silent(connection: Connection) -> bool:
-        """Danger: the other side closed it, or spoke out of turn, and the loop has not come to it yet.
-
-        A request written now would be reset, which an unsafe one does not survive, or get a stray answer.
-        """
-        try:
-            connection.stream.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except (OSError, AttributeError):   # reset; closed
-            pass
-        return False
-
     def open(self, server: str, dial: tuple[str, int]) -> Connection:
         """A new connection, not yet connected. The oldest idle one makes room when all are taken."""
         if self._count >= self._most:
@@ -87,8 +76,7 @@
 
     def _spoke(self, connection: Connection, read: Future) -> None:
         """Danger: a server that sends more than it was asked for, on and on, while nobody reads it."""
-        if not read.cancelled():
-            read.exception()
+        seen(read)
         self._drop_idle(connection)
 
     def discard(self, connection: Connection) -> None:
--- a/linkdock/state/requests.py
+++ b/linkdock/state/requests.py
@@ -45,6 +45,7 @@
     destination: int
     until: float
     body: bytes
+    alone: bool = False   # whether it must not share a call any more
     answer: Callable[[Answer], bool] | None = None
 
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -328,7 +328,9 @@
     ["ENQUEUE"], ["ENQUEUE", "0", "aa", PAIRS], ["ENQUEUE", "0", "a b", PAIRS, "x"],
     ["ENQUEUE", "0", "aa", "c=other,d=1,dest=1", "x"], ["ENQUEUE", "0", "aa", "c=preview,d=1,dest=99", "x"],
     ["ENQUEUE", "0", "aa", "c=preview,d=-1,dest=1", "x"], ["ENQUEUE", "0", "aa", "c=preview,dest=1", "x"],
-    ["ENQUEUE", "0", "aa", "c=preview,d=9e9,dest=1", "x"], ["ENQUEUE", "0", "aa", "nonsense", "x"],
+    ["ENQUEUE", "0", "aa", "c=preview,d=9e9,dest=1", "x"],
+    ["ENQUEUE", "0", "aa", "c=preview,d=99999999,dest=1", "x"],
+    ["ENQUEUE", "0", "aa", PAIRS + ",dest=1", "x"], ["ENQUEUE", "0", "aa", "nonsense", "x"],
     ["ENQUEUE", "0", "aa", PAIRS, b"x" * 70000],
     ["ENQUEUE", "0\r\nX: 1", "aa", PAIRS, "x"], ["FLUSHALL"], [""]])
 def test_malformed_commands_get_an_error_and_the_connection_goes_on(start, words):
@@ -600,3 +602,92 @@
     line.answer(200)
     settled(client)
     assert program.discovery.notices.empty()
+
+
+def test_who_says_nothing_or_half_a_command_is_closed_in_time(start):
+    program = start([Backend("s1")])
+    began = time.monotonic()
+    silent, half, trickle = (program.client() for _ in range(3))
+    half.sock.sendall(b"*5\r\n$7\r\nENQ")
+    trickle.sock.sendall(b"*5\r\n$70000\r\n")
+    assert trickle.heard().startswith("-ERR ")   # at once, and before it is sent
+    with pytest.raises(ConnectionError):
+        while time.monotonic() < began + 3:
+            trickle.sock.sendall(b"x")
+            time.sleep(0.05)
+    assert silent.heard() == half.heard() == "" and time.monotonic() - began < 3
+    settled(program.client())
+
+
+def test_several_commands_at_once_are_refused_whole(start):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    words = (b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$4\r\naa%02d\r\n$23\r\nc=preview,d=6000,dest=1\r\n"
+             b"$1\r\nx\r\n")
+    client.sock.sendall(b"".join(words % n for n in range(20)))
+    assert client.heard().startswith("-ERR Protocol error") and client.heard() == ""
+    late = program.client()
+    late.sock.sendall(words % 20 + b"*5\r\n")
+    assert late.heard().startswith("-ERR Protocol error") and server.quiet()
+    program.kill()
+    assert not owed(program)
+
+
+def test_hundreds_of_silent_clients_leave_room_for_usual_ones(start):
+    server = Backend("s1")
+    program = start([server], limits={"sockets": 64, "memory_mb": 32})
+    silent = [program.client() for _ in range(200)]
+    for n in range(30):
+        client = program.client()
+        assert client.enqueue(f"aa{n:02}") == "+OK"
+    assert len(silent) == 200
+
+
+def test_a_foreign_use_of_an_open_id_or_one_that_was_open_does_its_owner_no_harm(start):
+    server = Backend("s1")
+    program = start([server])
+    client, foreign = program.client(), program.client()
+    assert client.enqueue("aa01", "order", 16000) == "+OK"
+    assert foreign.enqueue("aa01", "preview", 100, body=b"other") == "+OK"   # it is on record, once
+    line, (_, _, body) = server.take()
+    assert body == b"hello"
+    line.answer(200)
+    settled(client)
+    assert foreign.enqueue("aa01", "preview", body=b"other") == "+OK"   # over, but lately
+    assert client.enqueue("aa02", "preview") == "+OK"
+    assert line.call()[1]["x-trace-id"] == "aa02" and server.quiet()
+    assert program.discovery.notices.empty()
+
+
+def test_a_client_that_keeps_sending_errors_is_slowed_and_then_closed(start):
+    program = start([Backend("s1")])
+    client, heard = program.client(), []
+    with pytest.raises(ConnectionError):
+        while len(heard) < 100:
+            client.send("ENQUEUE", "0", "", PAIRS, "x")
+            if not (line := client.heard()):
+                raise ConnectionError
+            heard.append(line)
+    assert 1 < len(heard) < 20 and all(line.startswith("-ERR ") for line in heard)
+    settled(program.client())
+
+
+def test_what_a_server_cannot_use_ends_alone_and_spoils_no_other_call(start):
+    server = Backend("s1", kind="batching")
+    program = start([server], extra__calls_out=1)
+    client = program.client()
+    assert client.enqueue("aa00") == "+OK"
+    line, _ = server.take()
+    for name in ("aa01", "aa02", "aa03"):   # they wait for the only slot, and then share a call
+        assert client.enqueue(name, "order", 16000) == "+OK"
+    line.answer(200)
+    assert line.call()[0].startswith("POST /v1/messages:batch ")
+    line.answer(400)
+    for _ in range(3):
+        first, headers, _ = line.call()
+        assert first.startswith("POST /v1/messages ")
+        line.answer(400 if headers["x-trace-id"] == "aa02" else 200)
+    assert program.discovery.notice() == {"id": "aa02", "status": "undeliverable"}
+    settled(client)
+    assert program.discovery.notices.empty()
