--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -262,7 +262,7 @@
             case 504:
                 how, more["over"], more["owed"] = NOT_SENT, True, True
             case 400 | 413:
-                # Danger: a message that no server can use would spoil each call that it shares, again and again.
+                # Danger: a message that no server can use would spoil each call that it shares, on and on.
                 # Alone, it ends by this; of several each goes alone from now on.
                 how = NOT_SENT
                 more["over"] = more["owed"] = self._single
