--- a/linkdock/protocol/notices.py
+++ b/linkdock/protocol/notices.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger(__name__)
 
-# Danger: a connection that fell silent. A notice may be given up as late as a call's time before its message's
+# Danger: a connection that fell silent. A message may be given up as late as a call's time before its
 # deadline, and is lost 0.3 s after that: the next try, over a new connection, must still make it.
 ANSWER = 0.15       # seconds for one reply, which is due at once
 PAUSE = 0.02        # first pause after a failure; it doubles
