Count no answer after a call's told end, and give the call up shortly before it

The shorter wait of the notices did not cure it (its cause was wrongly inferred: no post failed in the logs). calls.py waited the told time and up to two ticks more on the wheel, so that an answer just after X-Expires-In was taken for a delivery, which no notice followed.

Now a call is given up 50 ms before the end it told; one read after that end is a time-out; and a delivery in the last 0.25 s of its message's time is ended by a notice as well, which does no harm.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -23,6 +23,7 @@
 
 MOST_BODY = 64 * 1024
 ROOM_OF_ONE = 200      # bytes of a batch that one message takes at most besides its body
+MARGIN = 0.05          # seconds before the told end of a call at which it is given up
 REST_OF_ANSWER = 0.5   # seconds that an answer may take from its first byte to its last
 NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,12})?\Z")
 STATES = {"done": DELIVERED, "failed": ERROR, "busy": TURNED_AWAY, "void": NOT_SENT, "used_up": NOT_SENT}
@@ -86,14 +87,16 @@
         self._spoilt = False   # whether the answer began and did not end in time
         self._connection: Connection | None = None
         self._limits = {i.request: i.limit for i in order.items}
-        self._timers = {i.request: backend.wheel.after(i.limit, lambda r=i.request: self._late(r))
-                        for i in order.items}
+        self._timers = {i.request: backend.wheel.after(max(i.limit - MARGIN, i.limit / 2),
+                                                       lambda r=i.request: self._late(r)) for i in order.items}
 
     # --- Ends.
 
     def _end(self, request: str, how: str, **more) -> None:
         item = self.items.pop(request, None)
         if item is not None:
+            if how == DELIVERED and self._b.clock() - self._began > item.limit:
+                how = TIMED_OUT   # Danger: after its time an answer delivers nothing, even before the timer
             if how in (RESET, TIMED_OUT):
                 # Danger: a machine that is gone or cut off leaves its connections open and silent, and resets
                 # them once it is back, with whatever was written. Costs a new one where the server was slow.
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -32,6 +32,7 @@
 
 log = logging.getLogger(__name__)
 
+CLOSE = 0.25   # seconds before its deadline in which a delivery may have come too late for the platform
 REMEMBERED, MOST_REMEMBERED = 5.0, 4096   # seconds for which ended requests are remembered, and how many
 
 
@@ -226,10 +227,15 @@
 
     def _finish(self, request: str, notice: dict | None) -> None:
         """The one place where a taken request ends: with a notice that is owed, or with nothing."""
-        if self._requests.get(request) is None:
+        known = self._requests.get(request)
+        if known is None:
             return
         self._requests.remove(request)
         now = self._clock()
+        if notice is None and now > known.until - CLOSE:
+            # Danger: an answer written just after the message's time was up, which runs from its client's
+            # side and so ends before ours. It delivers nothing; a notice about what is over does no harm.
+            notice = {"id": request, "status": "undeliverable"}
         while self._over and (len(self._over) >= MOST_REMEMBERED or next(iter(self._over.values())) <= now):
             del self._over[next(iter(self._over))]
         self._over[request] = now + REMEMBERED
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -703,3 +703,22 @@
     began = time.monotonic()
     program.discovery.reply = 204
     assert program.discovery.notice()["id"] == "aa01" and time.monotonic() - began < 0.6
+
+
+def test_a_delivery_at_the_very_end_of_its_time_is_ended_by_a_notice_as_well(start):
+    server = Backend("s1")
+    program = start([server])
+    assert program.client().enqueue("aa01", "order", d=900) == "+OK"
+    line, _ = server.take()
+    assert server.quiet(0.75)   # it may have come too late by the clock of the client
+    line.answer(200)
+    assert program.discovery.notice() == {"id": "aa01", "status": "undeliverable"}
+
+
+def test_a_call_is_given_up_before_the_end_that_it_told(start):
+    server = Backend("s1")
+    program = start([server])
+    assert program.client().enqueue("aa01", "order", d=900) == "+OK"
+    line, (_, headers, _) = server.take()
+    taken = time.monotonic()
+    assert line.call() is None and time.monotonic() - taken < float(headers["x-expires-in"])
