--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -87,8 +87,9 @@
         self._spoilt = False   # whether the answer began and did not end in time
         self._connection: Connection | None = None
         self._limits = {i.request: i.limit for i in order.items}
-        self._timers = {i.request: backend.wheel.after(max(i.limit - MARGIN, i.limit / 2),
-                                                       lambda r=i.request: self._late(r)) for i in order.items}
+        self._timers = {
+            r: backend.wheel.after(max(limit - MARGIN, limit / 2), lambda r=r: self._late(r))
+            for r, limit in self._limits.items()}
 
     # --- Ends.
 
