Hold a shared call to the time of its first message, and free clients' idle places

The record of a message's life, built here (linkdock/records, off by default), shows the cause of each.

Each lost one was an order in a shared call whose answer came 0.25 to 0.30 s after the time of the preview named first in it, and well within its own. The platform holds a shared call to that message's time; the sender took `done` for delivered (calls.py, _judge_batch). Now the one with the most time comes first, and what such an answer delivers is ended by a notice too.

The usual clients hold a third of the sockets (128) for themselves; from second 2 on each message came on a new connection that then lay idle for 1 to 3 s, so that some 64 a second could be handed in. Now a quarter of that bound may lie idle; beyond it the longest idle is closed. Making room also takes connections without any message before a usual client's (protocol/door.py).

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 
 build: .venv/bin/pytest
 
-.venv/bin/pytest: requirements.txt requirements-dev.txt
+.venv/bin/pytest: requirements.txt requirements-console.txt requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv .venv
 	.venv/bin/pip -q install -r requirements.txt -r requirements-dev.txt
+	.venv/bin/pip -q install --no-deps -e .
 	touch $@
 
 test: build
--- a/linkdock/__init__.py
+++ b/linkdock/__init__.py
@@ -1,5 +1,7 @@
 """A sender and its decisions: `interface` says what goes in and out, `decide` decides."""
 
+__version__ = "0.2.0"
+
 from .decide import Relay
 from .interface import (
     Action,
--- /dev/null
+++ b/linkdock/console/main.py
@@ -0,0 +1,97 @@
+"""`linkdock`: one command with sub-commands. Each imports what it needs when it runs.
+
+Exit status: 0 done, 1 done and faults were found, 2 for input that cannot be used.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from .. import __version__
+
+USAGE = 2
+
+
+def say_json(told: object) -> None:
+    click.echo(json.dumps(told, indent=2, sort_keys=False))
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+@click.version_option(__version__, message="%(version)s")
+def cli() -> None:
+    """A sender that delivers messages by calls to backend servers. Without sub-commands: python -m linkdock."""
+
+
+@cli.command()
+def run() -> None:
+    """Start one sender in the foreground, as `python -m linkdock` does."""
+    from ..service.run import main
+    sys.exit(main())
+
+
+@cli.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path), metavar="FILE...")
+@click.option("--message", metavar="ID", help="Tell the story of one message, event by event.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+@click.option("--most", default=20, show_default=True, type=click.IntRange(0, 1000),
+              help="Findings that are printed one by one.")
+def audit(files: tuple[Path, ...], message: str | None, as_json: bool, most: int) -> None:
+    """Judge the records in FILE...: messages with no end, two ends, a late end, or a forbidden repeat."""
+    from ..records.audit import audit as judge
+    from ..records.reading import Passed, ReadError, read
+    passed = Passed()
+    try:
+        report, story = judge(read(list(files), passed), passed, message)
+    except ReadError as bad:
+        raise click.UsageError(str(bad)) from None
+    if not report["senders"]:
+        raise click.UsageError(f"no event in {', '.join(map(str, files))}"
+                               + (f"; {passed.named[0]}" if passed.named else ""))
+    if message is not None and not story:
+        raise click.UsageError(f"no event of message {message}")
+    report["found"], cut = report["found"][:most], len(report["found"][most:]) + report["unnamed"]
+    report["unnamed"] = cut
+    if as_json:
+        say_json(report if message is None else {**report, "story": story})
+    else:
+        _print_report(report)
+        for event in story:
+            _print_event(event, story[0]["unix"])
+    sys.exit(1 if report["faults"] else 0)
+
+
+def _print_report(report: dict) -> None:
+    for name, counts in report["senders"].items():
+        click.echo(f"sender {name}")
+        for what, count in counts.items():
+            click.echo(f"  {count:>8}  {what}")
+    click.echo("ends, by how long before their time")
+    for what, count in report["ends"].items():
+        click.echo(f"  {count:>8}  {what}")
+    if report["passed_over"]:
+        click.echo(f"{report['passed_over']} lines were passed over")
+        for line in report["passed_over_first"]:
+            click.echo(f"  {line}")
+    if not report["faults"]:
+        click.echo("no fault")
+    for what, count in report["faults"].items():
+        click.echo(f"FAULT {count} x {what}")
+    for fault in report["found"]:
+        click.echo(f"  {fault['sender']} {fault['message']}: {fault['kind']}: {fault['text']} "
+                   f"({fault['file']}:{fault['line']})")
+    if report["unnamed"]:
+        click.echo(f"  and {report['unnamed']} more")
+
+
+def _print_event(event: dict, since: float) -> None:
+    plain = ("sender", "life", "unix", "mono", "event", "id", "file", "line")
+    rest = " ".join(f"{k}={v}" for k, v in event.items() if k not in plain)
+    click.echo(f"{event['unix'] - since:+9.4f} {event['sender']}/{event['life']} {event['event']:<10} {rest}")
+
+
+def main() -> None:
+    cli(prog_name="linkdock")
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -7,7 +7,8 @@
 import logging
 import re
 from collections.abc import Callable
-from typing import Protocol
+from math import inf
+from typing import TYPE_CHECKING, Protocol
 
 from tornado.iostream import StreamClosedError
 
@@ -19,6 +20,9 @@
 from ..state.wheel import Wheel
 from . import http
 
+if TYPE_CHECKING:
+    from ..records.observer import Observer
+
 log = logging.getLogger(__name__)
 
 MOST_BODY = 64 * 1024
@@ -36,10 +40,15 @@
         """Asked right before the first byte goes out; a yes is on record."""
 
     def ended(self, server: str, item: Item, how: str, elapsed: float, wait: float = 0.0,
-              load: tuple[float, float] | None = None, over: bool = False, owed: bool = False) -> None:
-        """An item has its outcome; `over` where the request is over, `owed` where its end is still owed."""
+              load: tuple[float, float] | None = None, over: bool = False, owed: bool = False,
+              due: float = inf, read: str = "") -> None:
+        """An item has its outcome; `over` where the request is over, `owed` where its end is still owed.
+
+        `due` is when the first of those that shared its call ran out of time, on the loop's clock; `read` says for
+        the record what came back.
+        """
 
-    def delivered_late(self, request: str) -> None:
+    def delivered_late(self, request: str, due: float) -> None:
         """An item that had been given up was delivered all the same."""
 
 
@@ -50,6 +59,7 @@
                  clock: Callable[[], float], connect_timeout: float, fields: list[str]) -> None:
         self.desk, self.table, self.pool, self.wheel, self.clock = desk, table, pool, wheel, clock
         self.connect_timeout, self.fields = connect_timeout, fields
+        self.observer: Observer | None = None   # of the records, where they are on
 
     def load(self, headers: dict[str, str]) -> tuple[float, float] | None:
         """The load report of an answer, if it carries one that can be read."""
@@ -86,7 +96,11 @@
         self._single = True    # whether one answer counts for one item
         self._spoilt = False   # whether the answer began and did not end in time
         self._connection: Connection | None = None
+        self._parser = http.AnswerParser(MOST_BODY)
         self._limits = {i.request: i.limit for i in order.items}
+        # Danger: an answer to several after the time of one of them. The platform takes a shared call's time from one
+        # message, and a later answer delivers none of them, whatever it says of the others.
+        self._due = min((r.until for r in requests), default=inf)
         self._timers = {
             r: backend.wheel.after(max(limit - MARGIN, limit / 2), lambda r=r: self._late(r))
             for r, limit in self._limits.items()}
@@ -103,6 +117,10 @@
                 # them once it is back, with whatever was written. Costs a new one where the server was slow.
                 self._b.pool.retire(self.server)
             self._timers.pop(request).cancel()
+            if how == DELIVERED:
+                more["due"] = self._due
+            if self._b.observer is not None:
+                more["read"] = self._parser.so_far()
             self._b.desk.ended(self.server, item, how, self._b.clock() - self._began, **more)
 
     def _give_up(self, request: str, how: str) -> None:
@@ -175,8 +193,11 @@
                 size += room
         if not self.items:
             return True
+        fresh = self._connection.first is None
         await stream.write(self._encode())
         self._sent = True
+        if b.observer is not None:
+            b.observer.written(self.server, self.items, fresh)
         return await self._answer()
 
     def _encode(self) -> bytes:
@@ -184,7 +205,8 @@
         left = max(self._limits[r] for r in self.items) - waited
         headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
         dial = self._connection.dial
-        requests = [self._requests[r] for r in self.items]
+        # The one with the most time first: its time is what the platform holds the shared call to.
+        requests = sorted((self._requests[r] for r in self.items), key=lambda r: -r.until)
         self._single = len(requests) == 1
         if self._single:
             headers["X-Trace-Id"] = requests[0].id
@@ -200,7 +222,7 @@
         Danger: a spoilt answer. A single call's first line with 200 is true by itself, whatever follows; any
         other answer counts only if the whole of it can be read, or else the call may have run.
         """
-        parser, connection = http.AnswerParser(MOST_BODY), self._connection
+        parser, connection = self._parser, self._connection
         head, body, timer = None, b"", None
         try:
             while True:
@@ -246,7 +268,9 @@
         """What every answer may tell besides its outcome: a wait and a load report."""
         wait = _number(head.headers.get("retry-after", "")) or 0.0
         if wait:
-            self._b.table.told_wait(self.server, self._b.clock() + wait)
+            route = self._b.table.told_wait(self.server, self._b.clock() + wait)
+            if self._b.observer is not None:
+                self._b.observer.wait(self.server, route, wait)
         return {"wait": wait, "load": self._b.load(head.headers)}
 
     def _judge(self, head: http.Head, body: bytes) -> None:
@@ -294,4 +318,4 @@
                       owed=state == "used_up")
         for request in self._given_up:
             if states.get(request) == "done":
-                self._b.desk.delivered_late(request)
+                self._b.desk.delivered_late(request, self._due)
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -10,7 +10,7 @@
 import re
 import socket
 from collections.abc import Callable
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import add_accept_handler, bind_sockets
@@ -18,13 +18,18 @@
 from ..state.requests import Busy, Failed, Refused, Request, Taken
 from ..state.wheel import Wheel
 from . import resp
+from .door import BAD, BEGUN, BUSY, IDLE, Door, Place
 from .streams import seen, silent
 
+if TYPE_CHECKING:
+    from ..records.observer import Observer
+
 log = logging.getLogger(__name__)
 
 BUFFER = 128 * 1024    # of one connection: one command, and the start of a next
 WHOLE = 2.0            # seconds from connecting, or from a later command's first byte, to the command's last
-IDLE = 5.0             # seconds without a command before a connection is closed
+IDLE_FOR = 5.0         # seconds without a command before a connection is closed,
+UNUSED_FOR = 2.0       # and before one that never handed in a message is
 STALLED = 2.0          # seconds for a client to read an answer
 LAST_READS = 8         # reads, and seconds, for what comes after the last answer on a connection
 LAST = 0.5
@@ -60,20 +65,20 @@
     """
 
     def __init__(self, desk: Desk, listen: tuple[str, int], wheel: Wheel, spawn: Callable, most: int,
-                 most_held: int) -> None:
-        self._desk, self._wheel, self._spawn = desk, wheel, spawn
-        self._most, self._most_held = most, most_held
+                 usual: int, most_held: int) -> None:
+        self._desk, self._wheel, self._spawn, self._most_held = desk, wheel, spawn, most_held
+        self._door = Door(most, usual)
         self._reads: dict[IOStream, asyncio.Future] = {}   # every connection, with its next read
-        self._bad: dict[IOStream, None] = {}     # after an error, the longest first
-        self._begun: dict[IOStream, int] = {}    # waiting for the rest of a command: the bytes held so far
-        self._idle: dict[IOStream, None] = {}    # between requests, the longest first
+        self._places: dict[IOStream, Place] = {}           # and its place at the door,
+        self._streams: dict[Place, IOStream] = {}          # both ways
         self._closing = False
+        self.observer: Observer | None = None              # of the records, where they are on
         self._sockets = bind_sockets(listen[1], listen[0], family=socket.AF_INET, backlog=512)
         self.port = self._sockets[0].getsockname()[1]
         self._removers = [add_accept_handler(s, self._accepted) for s in self._sockets]
 
-    def _accepted(self, sock: socket.socket, _address: object) -> None:
-        if len(self._reads) >= self._most and not self._make_room():
+    def _accepted(self, sock: socket.socket, address: object) -> None:
+        if len(self._door) >= self._door.most and not self._make_room():
             sock.close()   # all are in the middle of a request; its client has not been read, and comes again
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -82,8 +87,11 @@
             self._reads[stream] = self._read(stream)
         except StreamClosedError:
             return
-        self._begun[stream] = 0
-        self._spawn(self._serve(stream))
+        place = self._places[stream] = self._door.enter(self._wheel.now)
+        self._streams[place] = stream
+        if self.observer is not None:
+            self.observer.joined(place.number, f"{address[0]}:{address[1]}", len(self._door))
+        self._spawn(self._serve(stream, place))
 
     @staticmethod
     def _read(stream: IOStream) -> asyncio.Future:
@@ -91,26 +99,45 @@
         read.add_done_callback(seen)
         return read
 
+    def _silent(self, place: Place) -> bool:
+        """Whether no command may just have come on it."""
+        stream = self._streams[place]
+        return silent(stream, self._reads[stream])
+
     def _make_room(self) -> bool:
-        """Close the connection that is least missed; not one on which a command may just have come."""
-        if self._bad:
-            self._drop(next(iter(self._bad)))
-            return True
-        for waiting in (self._begun, self._idle):
-            for stream in waiting:
-                if silent(stream, self._reads[stream]):
-                    self._drop(stream)
-                    return True
-        return False
-
-    def _drop(self, stream: IOStream) -> None:
+        """Close what is least missed; not a connection on which a command may just have come."""
+        useless, rest = self._door.least_missed(self._wheel.now)
+        room = 0
+        for place in useless:
+            if room >= self._door.bulk():
+                break
+            if place.state == BAD or self._silent(place):
+                self._drop(self._streams[place], "room")
+                room += 1
+        if not room:
+            place = next((p for p in rest if self._silent(p)), None)
+            if place is None:
+                return False
+            self._drop(self._streams[place], "room")
+        return True
+
+    def _drop(self, stream: IOStream, why: str) -> None:
         """The one place where a connection is given back; its `_serve` ends by it, or with it."""
-        for part in (self._reads, self._bad, self._begun, self._idle):
-            part.pop(stream, None)
         stream.close()
-
-    async def _serve(self, stream: IOStream) -> None:
-        parser, errors = resp.CommandParser(), 0
+        place = self._places.pop(stream, None)
+        if place is None:
+            return
+        del self._reads[stream], self._streams[place]
+        self._door.leave(place)
+        if self.observer is not None:
+            now = self._wheel.now
+            if stream.error is not None:
+                why = f"{why}: {stream.error}"
+            self.observer.left(place.number, why, place.taken, place.commands, now - place.since,
+                               now - place.last if place.state == IDLE else 0.0)
+
+    async def _serve(self, stream: IOStream, place: Place) -> None:
+        parser, why = resp.CommandParser(), "its client left"
         due: float | None = self._wheel.now + WHOLE   # the command's end; none between commands
         try:
             while stream in self._reads:
@@ -121,31 +148,40 @@
                     words = parser.next()
                     if words is None:
                         if self._closing and not parser.partial:
+                            why = "stopping"
                             return
-                        data = await self._more(stream, parser, due)
+                        data = await self._more(stream, place, parser, due)
                         due = due or self._wheel.now + WHOLE
                         parser.feed(data)
                         continue
                     due = None
+                    place.commands += 1
                     if parser.partial:
                         raise resp.Malformed("one command at a time")
-                    if not await self._command(stream, words):
+                    if not await self._command(stream, place, words):
+                        why = "told to"
                         return
                 except (Refused, resp.Oversize) as bad:
-                    errors += 1
+                    place.errors += 1
                     await self._written(stream, resp.error(f"ERR {bad}"))
-                    if errors >= MOST_ERRORS:
+                    if place.errors >= MOST_ERRORS:
+                        why = "errors"
                         return
-                    self._bad[stream] = None
-                    await self._wheel.pause(PENALTY * errors)
-                    self._bad.pop(stream, None)
+                    self._put(place, BAD)
+                    await self._wheel.pause(PENALTY * place.errors)
+                    self._put(place, BUSY)
         except resp.Malformed as bad:
-            self._bad[stream] = None
+            why = "malformed"
+            self._put(place, BAD)
             await self._last_words(stream, resp.error(f"ERR Protocol error: {bad}"))
         except StreamClosedError:
             pass
         finally:
-            self._drop(stream)
+            self._drop(stream, why)
+
+    def _put(self, place: Place, state: int) -> None:
+        if place in self._streams:
+            self._door.put(place, state, self._wheel.now)
 
     async def _last_words(self, stream: IOStream, text: bytes) -> None:
         """Danger: closing over bytes that were not read resets the connection, and the text is lost."""
@@ -170,16 +206,21 @@
         finally:
             timer.cancel()
 
-    async def _more(self, stream: IOStream, parser: resp.CommandParser, due: float | None) -> bytes:
+    async def _more(self, stream: IOStream, place: Place, parser: resp.CommandParser,
+                    due: float | None) -> bytes:
         """The next bytes. Danger: a trickle must not put off the deadline of a command that has begun."""
         if due is None:
-            self._idle[stream] = None
-            timer = self._wheel.after(IDLE, lambda: self._close_idle(stream))
+            self._put(place, IDLE)
+            for other in self._door.too_many(self._wheel.now):
+                self._close_idle(self._streams[other], "too many idle")
+            timer = self._wheel.after(IDLE_FOR if place.taken else UNUSED_FOR,
+                                      lambda: self._close_idle(stream, "idle"))
         else:
-            self._begun[stream] = parser.held
-            while sum(self._begun.values()) > self._most_held:
-                self._drop(max(self._begun, key=self._begun.get))
-            timer = self._wheel.after(due - self._wheel.now, stream.close)
+            place.held = parser.held
+            self._put(place, BEGUN)
+            while sum(p.held for p in self._door.begun()) > self._most_held:
+                self._drop(self._streams[max(self._door.begun(), key=lambda p: p.held)], "memory")
+            timer = self._wheel.after(due - self._wheel.now, lambda: self._drop(stream, "command not whole"))
         try:
             if stream not in self._reads:
                 raise StreamClosedError
@@ -189,19 +230,18 @@
         finally:
             timer.cancel()
             # From here on a command may have come, and nobody may close over it.
-            self._idle.pop(stream, None)
-            self._begun.pop(stream, None)
+            self._put(place, BUSY)
 
-    def _close_idle(self, stream: IOStream) -> None:
+    def _close_idle(self, stream: IOStream, why: str) -> None:
         """Danger: a request that has just come must not be met by a close."""
-        if silent(stream, self._reads[stream]):
-            stream.close()
+        if stream in self._places and self._silent(self._places[stream]):
+            self._drop(stream, why)
 
-    async def _command(self, stream: IOStream, words: list[bytes]) -> bool:
+    async def _command(self, stream: IOStream, place: Place, words: list[bytes]) -> bool:
         """Answer one command; whether the connection goes on."""
         name = words[0].upper()
         if name == b"ENQUEUE":
-            await self._written(stream, await self._enqueue(stream, words))
+            await self._written(stream, await self._enqueue(stream, place, words))
             return True
         if name == b"PING":
             reply = resp.simple("PONG")
@@ -212,7 +252,7 @@
         await self._written(stream, reply)
         return name != b"QUIT"
 
-    async def _enqueue(self, stream: IOStream, words: list[bytes]) -> asyncio.Future:
+    async def _enqueue(self, stream: IOStream, place: Place, words: list[bytes]) -> asyncio.Future:
         """Hand a message in; the write of its answer."""
         answered, writes, read = asyncio.get_running_loop().create_future(), [], self._reads[stream]
 
@@ -227,10 +267,12 @@
             if there:
                 writes.append(stream.write(encode(said)))
                 writes[0].add_done_callback(seen)
+                if isinstance(said, Taken) and not said.known and place in self._streams:
+                    self._door.took(place)
             told()
             return there
 
-        self._ask(words, answer)
+        self._ask(words, answer, place.number)
         read.add_done_callback(lambda _: told())
         await answered   # its deadline is the desk's: every request is answered at its next tick
         if not writes:
@@ -238,7 +280,7 @@
             raise resp.Malformed("one command at a time")
         return writes[0]
 
-    def _ask(self, words: list[bytes], answer: Callable) -> None:
+    def _ask(self, words: list[bytes], answer: Callable, client: int) -> None:
         if len(words) != 5:
             raise Refused("wrong number of arguments for 'enqueue'")
         _, key, name, pairs, body = words
@@ -256,7 +298,8 @@
         for what in ("d", "dest"):
             if not (told[what].isascii() and told[what].isdigit()) or len(told[what]) > 9:
                 raise Refused(f"{what} is not a whole number")
-        request = Request(name.decode(), key.decode(), 0, int(told["dest"]), 0.0, body, answer=answer)
+        request = Request(name.decode(), key.decode(), 0, int(told["dest"]), 0.0, body, answer=answer,
+                          client=client)
         self._desk.ask(told["c"], int(told["dest"]), int(told["d"]) / 1000, request,
                        told.get("r") == "1", told.get("again") == "1")
 
@@ -269,9 +312,9 @@
             remove()
         for sock in self._sockets:
             sock.close()
-        for stream in list(self._idle):
-            self._close_idle(stream)
+        for place in list(self._door.idle()):
+            self._close_idle(self._streams[place], "stopping")
 
     def close(self) -> None:
-        for stream in list(self._reads):
-            self._drop(stream)
+        for stream in list(self._places):
+            self._drop(stream, "the end")
--- a/linkdock/protocol/http.py
+++ b/linkdock/protocol/http.py
@@ -61,6 +61,11 @@
         self._keep = True
         self.status: int | None = None
         self.whole = False
+        self.read = 0   # bytes
+
+    def so_far(self) -> str:
+        """What came, in a few words."""
+        return f"{self.status or 'no'} status, {self.read} bytes, {'whole' if self.whole else 'not whole'}"
 
     @property
     def begun(self) -> bool:
@@ -68,6 +73,7 @@
 
     def feed(self, data: bytes) -> list[Head | Body | Whole]:
         self._data += data
+        self.read += len(data)
         parts: list[Head | Body | Whole] = []
         while not self.whole and self._step(parts):
             pass
--- a/linkdock/protocol/notices.py
+++ b/linkdock/protocol/notices.py
@@ -7,12 +7,16 @@
 import logging
 import socket
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..state.wheel import Wheel
 from . import http
 
+if TYPE_CHECKING:
+    from ..records.observer import Observer
+
 log = logging.getLogger(__name__)
 
 # Danger: a connection that fell silent. A message may be given up as late as a call's time before its
@@ -32,6 +36,7 @@
         self._owed: dict[str, bytes] = {}
         self._stream: IOStream | None = None
         self._news = asyncio.Event()
+        self.observer: Observer | None = None   # of the records, where they are on
         self._alone = False   # after a 400: one at a time, so that one bad notice cannot hold up the rest
 
     def __len__(self) -> int:
@@ -53,6 +58,7 @@
                 if batch and (size > MOST_BODY or self._alone):
                     break
                 batch.append(request)
+            fresh, began = self._stream is None or self._stream.closed(), self._wheel.now
             try:
                 status = await self._send(b"".join(self._owed[r] for r in batch))
             except (StreamClosedError, OSError, http.BadAnswer) as bad:
@@ -61,6 +67,8 @@
             except Exception:
                 status = 0
                 log.exception("notices: a post failed and is made again")
+            if self.observer is not None:
+                self.observer.posted(batch, fresh, status, self._wheel.now - began)
             if status == 204:
                 pause = PAUSE
                 for request in batch:
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -5,6 +5,8 @@
 import logging
 import time
 from collections.abc import Callable
+from math import inf
+from typing import TYPE_CHECKING
 
 from .facade import (
     DELIVERED,
@@ -27,9 +29,12 @@
 from .protocol.notices import Notices
 from .service.config import Config
 from .state.journal import Journal, Kept
-from .state.requests import Busy, Failed, Refused, Request, Requests, Taken
+from .state.requests import Answer, Busy, Failed, Refused, Request, Requests, Taken
 from .state.table import ServerTable
 
+if TYPE_CHECKING:
+    from .records.observer import Observer
+
 log = logging.getLogger(__name__)
 
 CLOSE = 0.25   # seconds before its deadline in which a delivery may have come too late for the platform
@@ -48,6 +53,7 @@
         self._calls: dict[tuple[str, int], Call] = {}
         self._over: dict[str, float] = {}          # ended lately: until when that is remembered
         self._unsafe_until: float | None = None    # set while stopping
+        self.observer: Observer | None = None      # of the records, where they are on
         self.backend: Backend
         self.notices: Notices
 
@@ -55,6 +61,16 @@
 
     def ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
         """A front hands in a request, which is answered at the next tick at the latest."""
+        if self.observer is None:
+            return self._ask(cls, destination, left, request, again, held)
+        self.observer.handed_in(request, cls, left, again, held)
+        try:
+            self._ask(cls, destination, left, request, again, held)
+        except Refused as why:
+            self.observer.refused(request.id, cls, destination, str(why))
+            raise
+
+    def _ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
         if cls not in self._config.classes:
             raise Refused("unknown class")
         if not self._table.knows(destination):
@@ -67,12 +83,12 @@
         if known is not None or self._over.get(request.id, 0.0) > self._clock():
             # The client came again over a new connection: what is owed is owed once. Danger: or another
             # client uses the id, and its message would go out under it once the first is over.
-            request.answer(Taken())
+            self._say(request, Taken(known=True))
             return
+        request.cls, request.until = self._config.classes[cls], self._clock() + left
         if self._requests.full():
-            request.answer(Busy(self._facade.advice(destination)))
+            self._say(request, Busy(self._facade.advice(destination)))
             return
-        request.cls, request.until = self._config.classes[cls], self._clock() + left
         key = self._order_key(request)
         self._requests.add(request)
         self._asking[request.id] = request
@@ -89,12 +105,16 @@
     def news(self, whole: bool, servers: list[Server], version: int) -> None:
         """Discovery has told of changes, or the whole list."""
         self._table.update(whole, servers, version)
+        if self.observer is not None:
+            self.observer.table(version, whole, servers)
         self._facade.report(Table("whole" if whole else "changes", servers, version))
 
     def restore(self) -> None:
         """Take up what an earlier life of this sender took on."""
         now, unix = self._clock(), time.time()
         for kept in list(self._journal.kept.values()):
+            if self.observer is not None:
+                self.observer.restored(kept)
             if kept.notice is not None:
                 self.notices.post(kept.notice)
                 continue
@@ -103,6 +123,8 @@
             if cls is None or kept.doubt and not safe:
                 # It may have run and may not be repeated: nobody can know more, so that it ends now.
                 self._owe_notice(kept.id, {"id": kept.id, "status": "undeliverable"})
+                if self.observer is not None:
+                    self.observer.over(kept.id, "undeliverable", kept.until - unix)
                 continue
             left = max(0.0, kept.until - unix)
             request = Request(kept.id, kept.key, cls, kept.destination, now + left, kept.body)
@@ -132,9 +154,9 @@
                     notice = {"id": request, "status": "deferred"}
                     if wait > 0:
                         notice["again_ms"] = max(1, round(wait * 1000))
-                    self._finish(request, notice)
+                    self._finish(request, "deferred", notice)
                 case Drop(request) if request in finals:
-                    self._finish(request, {"id": request, "status": "undeliverable"})
+                    self._finish(request, "undeliverable", {"id": request, "status": "undeliverable"})
                 case Cancel(request, attempt):
                     call = self._calls.get((request, attempt))
                     if call is not None:
@@ -144,12 +166,21 @@
                 case Remark(text):
                     log.info("%s", text)
 
+    def _say(self, request: Request, said: Answer) -> bool:
+        """Tell a client its one answer; whether it was still there."""
+        answer, request.answer = request.answer, None
+        heard = answer(said)
+        if self.observer is not None:
+            again = isinstance(said, Taken) and said.known
+            until = time.time() + request.until - self._clock()
+            self.observer.answered(request, said, heard, until, again)
+        return heard
+
     def _answer(self, request: Request, final: Deny | Drop | None) -> None:
         """Answer a client, on record first. What is not taken on is forgotten."""
-        answer, request.answer = request.answer, None
         if final is not None:
             self._requests.remove(request.id)
-            answer(Busy(final.wait) if isinstance(final, Deny) else Failed("not delivered"))
+            self._say(request, Busy(final.wait) if isinstance(final, Deny) else Failed("not delivered"))
             return
         left = request.until - self._clock()
         kept = Kept(request.id, request.key, self._config.class_names[request.cls], request.destination,
@@ -157,8 +188,8 @@
         if not self._journal.take(kept):
             self._requests.remove(request.id)
             self._facade.report(Withdraw(request.id))
-            answer(Busy(self._facade.advice(request.destination)))
-        elif not answer(Taken()):
+            self._say(request, Busy(self._facade.advice(request.destination)))
+        elif not self._say(request, Taken()):
             # Its client left unanswered and may hand it in again: nothing is owed, and nothing may be sent.
             self._journal.end(request.id)
             self._requests.remove(request.id)
@@ -183,6 +214,8 @@
         if items:
             call = Call(self.backend, Dispatch(order.server, items), requests)
             self._calls.update(((item.request, item.attempt), call) for item in items)
+            if self.observer is not None:
+                self.observer.dispatched(order.server, items)
             self._spawn(call.run())
 
     def _held_back(self, request: Request, now: float) -> bool:
@@ -199,42 +232,58 @@
         """The last look before the first byte goes out, and the record that it does."""
         now, request = self._clock(), self._requests.get(item.request)
         if request is None or request.until <= now or self._held_back(request, now):
-            return False
-        closed = self._table.closed(server, now)
-        if closed is not None:
+            why = "its request is over, or waits for the next life"
+        elif (closed := self._table.closed(server, now)) is not None:
+            why = closed
             log.info("dispatch of %s not sent: %s %s", item.request, server, closed)
-            return False
-        return self._journal.sent(item.request, item.attempt)
+        elif not self._journal.sent(item.request, item.attempt):
+            why = "the journal has no room"
+        else:
+            if self.observer is not None:
+                self.observer.sent(server, item)
+            return True
+        if self.observer is not None:
+            self.observer.held_up(server, item, why)
+        return False
 
     def ended(self, server: str, item: Item, how: str, elapsed: float, wait: float = 0.0,
-              load: tuple[float, float] | None = None, over: bool = False, owed: bool = False) -> None:
+              load: tuple[float, float] | None = None, over: bool = False, owed: bool = False,
+              due: float = inf, read: str = "") -> None:
         """A dispatch has its outcome: on record what matters for the next life, then for the decisions."""
         self._calls.pop((item.request, item.attempt), None)
+        if self.observer is not None:
+            self.observer.outcome(server, item, how, elapsed, wait, over, read)
         if how in NEVER_RAN:
             self._journal.never(item.request, item.attempt)
         self._facade.report(End(item.request, item.attempt, server, how, elapsed, wait, load, over))
         if owed:
-            self._finish(item.request, {"id": item.request, "status": "undeliverable"})
+            self._finish(item.request, "undeliverable", {"id": item.request, "status": "undeliverable"})
         elif over or how == DELIVERED:
-            self._finish(item.request, None)
+            self._finish(item.request, "delivered" if how == DELIVERED else "void", due=due)
 
-    def delivered_late(self, request: str) -> None:
+    def delivered_late(self, request: str, due: float) -> None:
         if self._requests.get(request) is not None:
+            if self.observer is not None:
+                self.observer.delivered_late(request)
             self._facade.report(Withdraw(request))
-            self._finish(request, None)
+            self._finish(request, "delivered", due=due)
 
     # --- Ends.
 
-    def _finish(self, request: str, notice: dict | None) -> None:
-        """The one place where a taken request ends: with a notice that is owed, or with nothing."""
+    def _finish(self, request: str, how: str, notice: dict | None = None, due: float = inf) -> None:
+        """The one place where a taken request ends: with a notice that is owed, or with nothing.
+
+        `due` is when the time was up of the first that shared the call which delivered it.
+        """
         known = self._requests.get(request)
         if known is None:
             return
         self._requests.remove(request)
         now = self._clock()
-        if notice is None and now > known.until - CLOSE:
-            # Danger: an answer written just after the message's time was up, which runs from its client's
-            # side and so ends before ours. It delivers nothing; a notice about what is over does no harm.
+        if notice is None and now > min(known.until, due) - CLOSE:
+            # Danger: an answer written just after the message's time was up, which runs from its client's side and
+            # so ends before ours, or after the time of one that shared its call. It delivers nothing; a notice
+            # about what is over does no harm.
             notice = {"id": request, "status": "undeliverable"}
         while self._over and (len(self._over) >= MOST_REMEMBERED or next(iter(self._over.values())) <= now):
             del self._over[next(iter(self._over))]
@@ -243,14 +292,20 @@
             self._journal.end(request)
         else:
             self._owe_notice(request, notice)
+        if self.observer is not None:
+            self.observer.over(request, how, known.until - now)
 
     def _owe_notice(self, request: str, notice: dict) -> None:
         self._journal.notice(request, notice)
         self.notices.post(notice)
+        if self.observer is not None:
+            self.observer.notice(notice)
 
     def confirmed(self, request: str) -> None:
         """The platform has heard how a request ended."""
         self._journal.end(request)
+        if self.observer is not None:
+            self.observer.confirmed(request)
 
     # --- Stopping.
 
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -47,13 +47,18 @@
     def repeatable(self, cls: int) -> bool:
         return self.settings.classes[cls].effect is Effect.SAFE
 
+    @property
+    def usual_clients(self) -> int:
+        """A third of the sockets: the usual clients hold no more for their requests."""
+        return self.sockets // 3
+
     @property
     def most_clients(self) -> int:
-        """A third of the sockets, which the usual clients' requests may take, and as many for others.
+        """As many as the usual clients hold, and as many for others.
 
         At 32 KB each, the others take a quarter of the memory at most.
         """
-        usual = self.sockets // 3
+        usual = self.usual_clients
         return usual + max(4, min(usual - 16, int(self.memory_mb * 1e6 / 4) // 32_000))
 
     @property
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -7,8 +7,10 @@
 import signal
 import sys
 from collections.abc import Coroutine
+from typing import TYPE_CHECKING
 
 from ..facade import Facade, Table
+from ..options import OptionError, switched_on
 from ..protocol.calls import Backend
 from ..protocol.discovery import Watch, read_news
 from ..protocol.frontend import Frontend
@@ -20,6 +22,9 @@
 from ..state.wheel import Wheel
 from .config import Config, ConfigError, load, reload
 
+if TYPE_CHECKING:
+    from ..records.observer import Observer
+
 log = logging.getLogger(__name__)
 
 IDLE_MARGIN = 0.75      # seconds before the other side's idle-close at which a connection is retired
@@ -63,16 +68,33 @@
                                                       self.sender.confirmed)
         self._watch = Watch(config.discovery, self._wheel, self._wheel.pause, config.zones, config.kinds,
                             lambda: table.version, self.sender.news)
+        self._observer = self._records(config)
+        for part in (self.sender, self.sender.backend, self._notices):
+            part.observer = self._observer
         self.sender.restore()
         self.spawn(self._notices.run())
         self.spawn(self._watch.run())
         try:
             self.frontend = Frontend(self.sender, config.listen, self._wheel, self.spawn, config.most_clients,
-                                     config.most_held)
+                                     config.usual_clients, config.most_held)
         except OSError as bad:
             raise ConfigError(f"listen: {bad}") from None
+        self.frontend.observer = self._observer
+        if self._observer is not None:
+            self._observer.ready(self.frontend.port)
         self._beat()
 
+    def _records(self, config: Config) -> Observer | None:
+        """The observer of the records, where `deploy/records.json` switches them on."""
+        try:
+            text = switched_on("records")
+            if text is None:
+                return None
+            from ..records import open_observer
+            return open_observer(text, config, self._loop.time, self._loop.call_later)
+        except (OptionError, OSError) as bad:
+            raise ConfigError(str(bad)) from None
+
     def spawn(self, work: Coroutine) -> None:
         """Run a coroutine. Each gives back what it holds on its way out, so that a failure stays its own."""
         task = self._loop.create_task(work)
@@ -111,6 +133,8 @@
             return
         self._stopping = True
         log.info("stopping")
+        if self._observer is not None:
+            self._observer.stopping()
         self.sender.stop_unsafe(self._loop.time() + NO_UNSAFE_AFTER)
         self._wheel.after(ACCEPT_FOR, self._stop_accepting)
         self._wheel.after(LEAVE_AFTER, self._stop.set)
@@ -140,6 +164,8 @@
         await asyncio.gather(*tasks, return_exceptions=True)   # calls still put proofs on record
         for part in (self._watch, self._notices, self._pool, self._journal):
             part.close()
+        if self._observer is not None:
+            self._observer.close(len(self._journal.kept))
         if self._failed is not None:
             log.error("stopped by a failure: %r", self._failed)
             return 1
--- a/linkdock/state/requests.py
+++ b/linkdock/state/requests.py
@@ -14,7 +14,9 @@
 # What the `answer` of a request is told, once.
 
 class Taken(NamedTuple):
-    """The sender owes the request its end from now on."""
+    """The sender owes the request its end from now on; `known` where it did already and nothing is begun."""
+
+    known: bool = False
 
 
 class Busy(NamedTuple):
@@ -47,6 +49,7 @@
     body: bytes
     alone: bool = False   # whether it must not share a call any more
     answer: Callable[[Answer], bool] | None = None
+    client: int = 0       # the number of the connection that it came on, for the record
 
 
 class Requests:
--- a/linkdock/state/table.py
+++ b/linkdock/state/table.py
@@ -35,10 +35,11 @@
         apart = row.kind < len(self._apart) and self._apart[row.kind]
         return (row.destination, row.name) if apart else (row.destination,)
 
-    def told_wait(self, name: str, until: float) -> None:
-        """A server's answer asked for quiet until then."""
+    def told_wait(self, name: str, until: float) -> tuple:
+        """A server's answer asked for quiet until then; what that binds."""
         route = self._route(self.rows[name])
         self._waits[route] = max(until, self._waits.get(route, -inf))
+        return route
 
     def closed(self, name: str, now: float) -> str | None:
         """Why nothing may be sent to this server just now, or None."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -722,3 +722,87 @@
     line, (_, headers, _) = server.take()
     taken = time.monotonic()
     assert line.call() is None and time.monotonic() - taken < float(headers["x-expires-in"])
+
+
+def test_an_answer_to_several_after_the_time_of_one_is_no_end_for_the_others(start):
+    """The platform holds a shared call to one message's time: what is answered later counts for none in it."""
+    server = Backend("s1", kind="batching")
+    program = start([server], extra__calls_out=1)
+    client = program.client()
+    assert client.enqueue("aa00") == "+OK"
+    line, _ = server.take()
+    assert client.enqueue("aa01", d=1500) == "+OK"
+    assert client.enqueue("aa02", "order", 16000) == "+OK"
+    line.answer(200)
+    first, _, body = line.call()
+    assert first.startswith("POST /v1/messages:batch ")
+    assert [m["id"] for m in json.loads(body)] == ["aa02", "aa01"]   # the one with the most time first
+    ended = program.discovery.notice()   # aa01 has run out of its time
+    assert ended["id"] == "aa01"
+    line.answer(200, b'[{"id":"aa01","state":"done"},{"id":"aa02","state":"done"}]')
+    assert program.discovery.notice() == {"id": "aa02", "status": "undeliverable"}
+    assert server.quiet()   # and nothing is resent
+    settled(client)
+    program.kill()
+    assert not owed(program)
+
+
+def test_an_answer_to_several_in_the_time_of_all_needs_no_notice(start):
+    server = Backend("s1", kind="batching")
+    program = start([server], extra__calls_out=1)
+    client = program.client()
+    assert client.enqueue("aa00") == "+OK"
+    line, _ = server.take()
+    assert client.enqueue("aa01", d=6000) == "+OK"
+    assert client.enqueue("aa02", "order", 16000) == "+OK"
+    line.answer(200)
+    line.call()
+    line.answer(200, b'[{"id":"aa01","state":"done"},{"id":"aa02","state":"done"}]')
+    settled(client)
+    assert client.enqueue("aa03") == "+OK"
+    line.call()
+    line.answer(200)
+    settled(client)
+    program.kill()
+    assert not owed(program) and program.discovery.notices.empty()
+
+
+def test_clients_that_ask_once_on_each_connection_get_their_places_back(start):
+    """Clients bound their own connections; what lies idle here after one message keeps them from the next."""
+    server = Backend("s1")
+    program = start([server], limits={"sockets": 96})   # clients hold at most 32; 8 may lie idle
+    kept = []
+    for n in range(24):
+        client = program.client()
+        assert client.enqueue(f"aa{n:02}") == "+OK"
+        kept.append(client)
+    for n in range(40):   # its next messages, by which the others have rested
+        assert kept[-1].enqueue(f"ab{n:02}") == "+OK"
+        if at_end(kept[15]):
+            break
+    ended = [c for c in kept if at_end(c)]
+    assert ended == kept[:16]   # the longest idle, and no other
+
+
+def at_end(client):
+    client.sock.settimeout(0.05)
+    try:
+        return client.sock.recv(1) == b""
+    except TimeoutError:
+        return False
+    finally:
+        client.sock.settimeout(8)
+
+
+def test_connections_without_a_message_make_room_before_a_usual_clients_idle_one(start):
+    server = Backend("s1")
+    program = start([server], limits={"sockets": 64, "memory_mb": 32})   # 21 usual, and 5 more
+    usual = [program.client() for _ in range(4)]
+    for n, client in enumerate(usual):
+        assert client.enqueue(f"aa0{n}") == "+OK"
+    for n in range(60):   # each errs or says PING, and is idle after it, younger than the usual ones
+        other = program.client()
+        assert other.ask("PING") == "+PONG" if n % 2 else other.ask("NONSENSE").startswith("-ERR")
+        usual.append(other)   # kept open by this side
+    for n, client in enumerate(usual[:4]):
+        assert client.enqueue(f"ab0{n}") == "+OK"
