--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -19,7 +19,7 @@
 from ..state.wheel import Wheel
 from . import resp
 from .door import BAD, BEGUN, BUSY, IDLE, Door, Place
-from .streams import seen, silent
+from .streams import seen, silent, waiting
 
 if TYPE_CHECKING:
     from ..records.observer import Observer
@@ -157,8 +157,8 @@
                     due = None
                     place.commands += 1
                     if parser.partial:
-                        raise resp.Malformed("one command at a time")
-                    if not await self._command(stream, place, words):
+                        parser.behind()
+                    if not await self._command(stream, place, parser, words):
                         why = "told to"
                         return
                 except (Refused, resp.Oversize) as bad:
@@ -237,11 +237,12 @@
         if stream in self._places and self._silent(self._places[stream]):
             self._drop(stream, why)
 
-    async def _command(self, stream: IOStream, place: Place, words: list[bytes]) -> bool:
+    async def _command(self, stream: IOStream, place: Place, parser: resp.CommandParser,
+                       words: list[bytes]) -> bool:
         """Answer one command; whether the connection goes on."""
         name = words[0].upper()
         if name == b"ENQUEUE":
-            await self._written(stream, await self._enqueue(stream, place, words))
+            await self._written(stream, await self._enqueue(stream, place, parser, words))
             return True
         if name == b"PING":
             reply = resp.simple("PONG")
@@ -252,7 +253,8 @@
         await self._written(stream, reply)
         return name != b"QUIT"
 
-    async def _enqueue(self, stream: IOStream, place: Place, words: list[bytes]) -> asyncio.Future:
+    async def _enqueue(self, stream: IOStream, place: Place, parser: resp.CommandParser,
+                       words: list[bytes]) -> asyncio.Future:
         """Hand a message in; the write of its answer."""
         answered, writes, read = asyncio.get_running_loop().create_future(), [], self._reads[stream]
 
@@ -260,10 +262,21 @@
             if not answered.done():
                 answered.set_result(None)
 
+        def gone(read: asyncio.Future) -> None:
+            if read.cancelled() or read.exception() is not None:
+                told()
+
         def answer(said: Taken | Busy | Failed) -> bool:
             """Write at once, so that the client hears it before any dispatch; False if it was not for it."""
-            # Danger: a client that has gone, or sends on before its answer, must not be held to be taken on.
-            there = silent(stream, read)
+            # Danger: a client that has gone, or floods before its answer, must not be held to be taken on. One that
+            # sends a few whole commands behind its first is answered each in turn.
+            try:
+                behind = waiting(stream, read)
+                there = behind is not None
+                if there and (behind or parser.partial):
+                    parser.behind(behind)
+            except resp.Malformed:
+                there = False
             if there:
                 writes.append(stream.write(encode(said)))
                 writes[0].add_done_callback(seen)
@@ -273,11 +286,11 @@
             return there
 
         self._ask(words, answer, place.number)
-        read.add_done_callback(lambda _: told())
+        read.add_done_callback(gone)
         await answered   # its deadline is the desk's: every request is answered at its next tick
         if not writes:
             await read   # raises if the client has gone
-            raise resp.Malformed("one command at a time")
+            raise resp.Malformed("too much behind one command")
         return writes[0]
 
     def _ask(self, words: list[bytes], answer: Callable, client: int) -> None:
--- a/linkdock/protocol/resp.py
+++ b/linkdock/protocol/resp.py
@@ -7,6 +7,7 @@
 MOST_WORDS = 64
 MOST_LINE = 32
 MOST_EMPTY = 8              # commands without a word on end
+MOST_BEHIND = 8             # whole commands that may wait behind one that is being answered
 MOST_SKIP = 256 * 1024      # bytes of an oversize word that are passed over to reach the next command
 
 
@@ -43,6 +44,25 @@
         """Bytes that are kept for the rest of a command."""
         return len(self._data) + self._size
 
+    def behind(self, more: bytes = b"") -> None:
+        """Look at what has come behind the last command, `more` with it, and take nothing of it.
+
+        Raises Malformed where that is not a few whole commands. Danger: a client that sends hundreds at once is to
+        hear one error for all of them, and so is one whose next command has only begun.
+        """
+        rest = CommandParser()
+        rest.feed(bytes(self._data) + more)
+        try:
+            for _ in range(MOST_BEHIND + 1):
+                if rest.next() is None:
+                    break
+            else:
+                raise Malformed("too many commands at once")
+        except Oversize as bad:
+            raise Malformed(str(bad)) from None
+        if rest.partial:
+            raise Malformed("a command that is not whole behind another")
+
     def next(self) -> list[bytes] | None:
         try:
             return self._next()
--- a/linkdock/records/events.py
+++ b/linkdock/records/events.py
@@ -1,6 +1,7 @@
 """What a record says: the names of the events and their fields. `FORMAT` is raised when their meaning changes.
 
-Each line is one JSON object. All have `event`, `seq` (counted from 1 in each life, no gaps), `life` (drawn anew at
+Each line is one JSON object. All have `event`, `seq` (counted from 1 in each life; 0 heads a further part),
+`life` (drawn anew at
 each start), `mono` (seconds on the loop's clock, which never runs back) and `unix` (seconds, the machine's clock).
 Times of day compare lives and machines; `mono` measures within one life.
 """
--- a/linkdock/records/observer.py
+++ b/linkdock/records/observer.py
@@ -15,7 +15,7 @@
 from . import events as e
 from .recorder import Recorder
 
-MOST_ROWS = 100   # of one change of the server table that are named
+MOST_NAMED = 100   # rows of one change of the server table, or ids of one post
 
 
 class Observer:
@@ -40,7 +40,7 @@
 
     def table(self, version: int, whole: bool, servers: Iterable[Server]) -> None:
         rows = [[s.name, s.destination, s.health] for s in servers]
-        self._note(e.TABLE, version=version, whole=whole, count=len(rows), changes=rows[:MOST_ROWS])
+        self._note(e.TABLE, version=version, whole=whole, count=len(rows), changes=rows[:MOST_NAMED])
 
     # --- Clients.
 
@@ -110,7 +110,7 @@
 
     def posted(self, requests: Iterable[str], fresh: bool, status: int, took: float) -> None:
         """One post is over: `status` 0 where no answer came in time."""
-        self._note(e.POSTED, ids=list(requests), fresh=fresh, status=status, took=round(took, 4))
+        self._note(e.POSTED, ids=list(requests)[:MOST_NAMED], fresh=fresh, status=status, took=round(took, 4))
 
     def confirmed(self, request: str) -> None:
         self._note(e.CONFIRMED, id=request)
--- a/linkdock/records/recorder.py
+++ b/linkdock/records/recorder.py
@@ -34,7 +34,7 @@
         self.lines: list[bytes] = []
 
     def msg(self, line: str) -> None:
-        self.lines.append(line.encode())
+        self.lines.append(line.encode() + b"\n")
 
 
 class Parts:
@@ -43,19 +43,44 @@
     def __init__(self, path: Path, most: int, count: int) -> None:
         self._path, self._count, self._most_part = path, count, most // count
         self.heading: Callable[[], bytes] = bytes   # begins each part, so that it can be read by itself
-        self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+        self._file = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self._size = os.fstat(self._file).st_size
+        if self._size and os.pread(self._file, 1, self._size - 1) != b"\n":
+            # Danger: a line torn by a kill would take this life's first one with it.
+            self._size += os.write(self._file, b"\n")
+        self._written = 0   # lines of the append that is under way
+
+    def append(self, lines: list[bytes]) -> tuple[int, OSError | None]:
+        """Append whole lines: how many are not in the file, and why not."""
+        lost, chunk, size = 0, [], 0
+        try:
+            for line in lines:
+                if len(line) > self._most_part // 2:
+                    lost += 1   # it would leave no room for others
+                    continue
+                if self._size + size + len(line) > self._most_part:
+                    done, chunk, size = chunk, [line], len(line)
+                    self._write(done)
+                    self._turn()
+                else:
+                    chunk.append(line)
+                    size += len(line)
+            self._write(chunk)
+        except OSError as bad:
+            return lost + len(lines) - self._written, bad
+        finally:
+            self._written = 0
+        return lost, None
 
-    def append(self, data: bytes) -> None:
-        """Append whole lines. Raises OSError, after which nothing or all of them is in the file."""
-        if self._size and self._size + len(data) > self._most_part:
-            self._turn()
+    def _write(self, chunk: list[bytes]) -> None:
+        data = b"".join(chunk)
         written = os.write(self._file, data)
         if written < len(data):
             # Danger: a full disk. A torn line would run into the next one.
             os.ftruncate(self._file, self._size)
             raise OSError("short write")
         self._size += written
+        self._written += len(chunk)
 
     def _turn(self) -> None:
         for n in range(self._count - 1, 0, -1):
@@ -76,9 +101,11 @@
 
     heading = staticmethod(bytes)
 
-    def append(self, data: bytes) -> None:
+    def append(self, lines: list[bytes]) -> tuple[int, OSError | None]:
+        data = b"".join(lines)
         while data:
             data = data[os.write(2, data):]
+        return 0, None
 
     def close(self) -> None:
         pass
@@ -108,9 +135,9 @@
 
     def _heading(self, facts: dict) -> bytes:
         lines, self._sink.lines = self._sink.lines, []
-        self._render(self._clock(), time.time(), events.STARTED, {**facts, "part": True})
+        self._render(self._clock(), time.time(), events.STARTED, {**facts, "part": True}, counted=False)
         head, self._sink.lines = self._sink.lines, lines
-        return head[0] + b"\n"
+        return head[0]
 
     def note(self, event: str, **fields: object) -> None:
         """Keep one event; its fields must be plain values that nobody changes."""
@@ -122,9 +149,10 @@
             self._waiting = True
             self._later(DELAY, self._write)
 
-    def _render(self, mono: float, unix: float, event: str, fields: dict) -> None:
-        self._seq += 1
-        self._log.msg(event, seq=self._seq, life=self._life, mono=round(mono, 4), unix=round(unix, 4), **fields)
+    def _render(self, mono: float, unix: float, event: str, fields: dict, counted: bool = True) -> None:
+        self._seq += counted
+        self._log.msg(event, seq=self._seq if counted else 0, life=self._life, mono=round(mono, 4),
+                      unix=round(unix, 4), **fields)
 
     def _write(self) -> None:
         """Render and append one slice; go on at the loop's next turn if there is more."""
@@ -143,18 +171,14 @@
         for _ in range(count):
             self._render(*self._held.popleft())
         lines, self._sink.lines = self._sink.lines, []
-        try:
-            self._out.append(b"".join(line + b"\n" for line in lines))
-        except OSError as bad:
-            self._lost += len(lines)
-            if not self._failing:
-                log.error("records: not written: %s", bad)
-            self._failing = True
-            return False
-        if self._failing:
+        lost, bad = self._out.append(lines)
+        self._lost += lost
+        if bad is not None and not self._failing:
+            log.error("records: not written: %s", bad)
+        if bad is None and self._failing:
             log.info("records: written again")
-        self._failing = False
-        return True
+        self._failing = bad is not None
+        return bad is None
 
     def close(self) -> None:
         """Write what is held, as far as the disk takes it."""
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -2,13 +2,19 @@
 
 import base64
 import json
+import os
 import signal
 import socket
+import struct
+import subprocess
+import sys
 import time
 
 import pytest
-from peers import Backend, Discovery, Program
+from peers import ROOT, Backend, Discovery, Program, settings
 
+from linkdock.records.audit import audit
+from linkdock.records.reading import Passed, read
 from linkdock.state.journal import Journal
 
 
@@ -806,3 +812,87 @@
         usual.append(other)   # kept open by this side
     for n, client in enumerate(usual[:4]):
         assert client.enqueue(f"ab0{n}") == "+OK"
+
+
+def test_the_record_of_a_kill_and_a_restart_tells_each_message_to_its_end(start, tmp_path):
+    server, file = Backend("s1"), tmp_path / "records.jsonl"
+    program = start([server], deploy={"records": {"on": True, "file": str(file), "most_mb": 5}}, extra__calls_out=4)
+    client = program.client()
+    for n, cls in enumerate(("preview", "order", "order")):
+        assert client.enqueue(f"aa0{n}", cls, 6000) == "+OK"
+    lines = {}
+    for _ in range(3):
+        line, call = server.take()
+        lines[call[1]["x-trace-id"]] = line
+    lines["aa00"].answer(200)
+    lines["aa01"].answer(500)
+    assert program.discovery.notice()["id"] == "aa01"
+    while '"confirmed"' not in file.read_text():   # what a kill cuts off a record is its last 20 ms
+        settled(client)
+    program.kill()            # aa02 is out: it may have run, and may not be repeated
+    program.start()
+    assert program.discovery.notice() == {"id": "aa02", "status": "undeliverable"}
+    assert program.client().enqueue("aa03") == "+OK"
+    line, _ = server.take()
+    line.answer(200)
+    settled(program.client())
+    program.terminate()
+    assert program.wait() == 0
+    passed = Passed()
+    report, story = audit(read([file], passed), passed, "aa02")
+    counts = report["senders"]["n0"]
+    assert report["faults"] == {} and passed.count == 0 and counts["lives"] == 2 and counts["taken"] == 4
+    told = [e["event"] for e in story]
+    assert told[:4] == ["handed_in", "answered", "dispatched", "sent"] and told[-1] == "confirmed"
+    assert "restored" in told and "over" in told
+
+
+@pytest.mark.parametrize("told, named", [
+    ({"on": True, "most_mb": -1}, "$.most_mb"), ({"on": True, "file": "r", "most_mb": 9}, "most_mb must be at most"),
+    ({"on": "yes"}, "on must be"), ({"on": True, "file": "/nowhere/r"}, "/nowhere/r")])
+def test_a_wrong_records_file_ends_the_start_and_names_the_key(tmp_path, told, named):
+    deploy = tmp_path / "deploy"
+    deploy.mkdir()
+    (deploy / "records.json").write_text(json.dumps(told))
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "1",
+                                  "settings": settings()}))
+    done = subprocess.run([sys.executable, "-m", "linkdock"], cwd=ROOT, capture_output=True, text=True, timeout=20,
+                          env={**os.environ, "RELAY_CONFIG": str(config), "RELAY_STATE": str(tmp_path),
+                               "LINKDOCK_DEPLOY": str(deploy)})
+    assert done.returncode == 2 and named in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_a_few_commands_behind_one_another_are_each_answered_in_turn(start):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    words = (b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$4\r\naa%02d\r\n$23\r\nc=preview,d=6000,dest=1\r\n"
+             b"$1\r\nx\r\n")
+    client.sock.sendall(b"".join(words % n for n in range(3)) + b"*1\r\n$4\r\nPING\r\n")
+    assert [client.heard() for _ in range(4)] == ["+OK", "+OK", "+OK", "+PONG"]
+    client.sock.sendall(words % 3)
+    client.sock.sendall(words % 4)   # apart, and before the first has its answer
+    assert [client.heard() for _ in range(2)] == ["+OK", "+OK"]
+    names = set()
+    while len(names) < 5:
+        line, call = server.take()
+        names.add(call[1]["x-trace-id"])
+        line.answer(200, Connection="close")
+        line.close()
+    assert names == {f"aa0{n}" for n in range(5)}
+
+
+def test_a_client_that_goes_behind_its_commands_has_nothing_taken_that_it_did_not_hear(start):
+    server = Backend("s1")
+    program = start([server])
+    client = program.client()
+    words = (b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$4\r\naa%02d\r\n$23\r\nc=preview,d=6000,dest=1\r\n"
+             b"$1\r\nx\r\n")
+    client.sock.sendall(words % 1 + words % 2)
+    client.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    client.sock.close()   # a reset
+    settled(program.client())
+    settled(program.client())
+    program.kill()
+    assert len(owed(program)) <= 1   # what was answered before the reset came
