--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -205,8 +205,7 @@
         left = max(self._limits[r] for r in self.items) - waited
         headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
         dial = self._connection.dial
-        # The one with the most time first: its time is what the platform holds the shared call to.
-        requests = sorted((self._requests[r] for r in self.items), key=lambda r: -r.until)
+        requests = [self._requests[r] for r in self.items]
         self._single = len(requests) == 1
         if self._single:
             headers["X-Trace-Id"] = requests[0].id
