--- a/linkdock/console/main.py
+++ b/linkdock/console/main.py
@@ -64,6 +64,68 @@
     sys.exit(1 if report["faults"] else 0)
 
 
+@cli.group()
+def lab() -> None:
+    """Experiments with emulated members, on loopback or a virtual clock. Needs requirements-lab.txt."""
+
+
+@lab.command()
+@click.option("--destinations", type=int, help="How many are listed.")
+@click.option("--wake", type=int, help="How many wake inside one second.")
+@click.option("--seeds", type=int, help="How many schedules.")
+@click.option("--plan", "file", type=click.Path(path_type=Path, dir_okay=False), help="A file with the experiment's "
+              "figures as JSON; options go before it.")
+@click.option("--process/--no-process", default=None, help="Whether a real sender is measured too.")
+@click.option("--jobs", type=int, help="Processes that play schedules side by side.")
+@click.option("--table", type=click.Path(path_type=Path), help="Write the runs as Parquet.")
+@click.option("--plot", type=click.Path(path_type=Path), help="Write a plot as PNG.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def idle(destinations: int | None, wake: int | None, seeds: int | None, file: Path | None, process: bool | None,
+         jobs: int | None, table: Path | None, plot: Path | None, as_json: bool) -> None:
+    """Many idle destinations: memory, cost of a pass, latency, and a thousand waking inside one second."""
+    try:
+        from ..lab import idle as experiment
+        from ..lab import results
+    except ImportError as bad:
+        raise click.UsageError(f"the laboratory needs the packages of requirements-lab.txt: {bad}") from None
+    options = {"destinations": destinations, "wake": wake, "seeds": seeds, "process": process,
+               "jobs": jobs}
+    try:
+        plan = results.read_plan(file, experiment.Plan, {k: v for k, v in options.items() if v is not None})
+        for path in (table, plot):
+            results.can_write(path)
+    except ValueError as bad:
+        raise click.UsageError(str(bad)) from None
+    with results.progress(not as_json) as said:
+        report = experiment.run(plan, said)
+    if table is not None:
+        results.write_table(table, report)
+    if plot is not None:
+        results.write_plot(plot, report)
+    say_json(report)
+
+
+@lab.command()
+@click.option("--rounds", type=int, help="How often each way is measured, in turn.")
+@click.option("--against", help="Another tree of the program that is measured in turn, without records.")
+@click.option("--plan", "file", type=click.Path(path_type=Path, dir_okay=False), help="A file of figures as JSON.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def records(rounds: int | None, against: str | None, file: Path | None, as_json: bool) -> None:
+    """What records cost: messages a second and CPU for each, with and without."""
+    try:
+        from ..lab import records as experiment
+        from ..lab import results
+    except ImportError as bad:
+        raise click.UsageError(f"the laboratory needs the packages of requirements-lab.txt: {bad}") from None
+    options = {"rounds": rounds, "against": against}
+    try:
+        plan = results.read_plan(file, experiment.Plan, {k: v for k, v in options.items() if v is not None})
+    except ValueError as bad:
+        raise click.UsageError(str(bad)) from None
+    with results.progress(not as_json) as said:
+        say_json(experiment.run(plan, said))
+
+
 def _print_report(report: dict) -> None:
     for name, counts in report["senders"].items():
         click.echo(f"sender {name}")
--- a/linkdock/decide.py
+++ b/linkdock/decide.py
@@ -60,6 +60,9 @@
 ASK_MOST = 1 / 2        # up to this, which by chance half to one and a half times stays inside the period
 PRIOR = 0.5             # messages that the mean of its kind weighs in a partner's rate: they differ widely
 KEEP = 8.0              # an idle connection stays for a next call expected within so many usual calls
+FORGET = 30.0           # seconds after which a link that is gone, with no call out, is forgotten
+SLEEPS = 50             # destinations that fall asleep in one pass at the most
+MOST_RESTS = 4096       # keys that rest before those whose rest is over are looked for
 
 
 class Estimate:
@@ -105,7 +108,7 @@
     def __init__(self) -> None:
         self.estimates: dict[int, Estimate] = {}
         self.round_trip, self.wait_until, self.cut_at, self.blow = 0.0, -inf, -inf, 0
-        self.limit, self.part = 0.0, 1.0
+        self.limit, self.part, self.woken = 0.0, 1.0, False
         self.tokens, self.tokens_at = 1.0, -inf
         self.trial_at, self.pause, self.trials = -inf, 0.0, 0
 
@@ -146,7 +149,7 @@
     def __init__(self) -> None:
         self.links: list[Link] = []
         self.waiting: dict[int, Msg] = {}
-        self.out, self.lost, self.came = 0, 0.0, 0.0
+        self.out, self.lost, self.came, self.used_at = 0, 0.0, 0.0, -inf
 
 
 PROOF = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT)
@@ -156,15 +159,20 @@
 class Relay:
     """One relay's decisions; knows only its settings and its own events."""
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
-        self.s = settings
+    def __init__(self, settings: i.Settings, seed: int, sleeper: i.Sleeper | None = None) -> None:
+        """With a sleeper, only destinations with work are held here; it has the list and what was learned."""
+        self.s, self.sleeper = settings, sleeper
         self.random, self.lots = random.Random(seed), random.Random(seed + 1)
         self.now, self.born = 0.0, inf
         self.acts: list[i.Action] = []
         self.msgs: dict[int, Msg] = {}
         self.calls: dict[tuple[int, int], tuple[Msg, Call]] = {}
         self.busy, self.reports = 0, False
-        self.dests: dict[int, Dest] = {}
+        self.dests: dict[int, Dest] = {}     # with a sleeper those awake, the longest without work first
+        self.hot: dict[int, Dest] = {}       # those for which messages wait
+        self.out: dict[Link, None] = {}      # links with calls out
+        self.down: dict[Link, None] = {}     # stopped ones
+        self.gone: deque[tuple[float, Link]] = deque()
         self.links: dict[i.Host, Link] = {}
         self.keys: dict[int, deque[Msg]] = {}
         self.rest: dict[int, float] = {}
@@ -189,6 +197,9 @@
         self.sweep()
         self.dispatch()
         self.close_idle()
+        self.forget()
+        if self.sleeper is not None:
+            self.fall_asleep()
         self.due = min(self.due, self.sweep_at)
         if self.due < self.timer_at - self.s.tick / 2 and self.due < inf:
             self.timer += 1
@@ -205,19 +216,84 @@
             pause = self.ask_pause * self.s.ask_within * self.random.uniform(0.5, 1.5)
             self.ask_at = self.now + pause if failed else inf
             self.ask_pause = min(ASK_MOST, self.ask_pause * 2) if failed else ASK_FIRST
+        listed = set()
+        for entry in news.entries:
+            listed.add(entry.host)
+            self.meet(entry)
         if news.how in (i.ListKind.FULL, i.ListKind.CACHED):
             for link in self.links.values():
-                link.ready = False
-        for entry in news.entries:
-            link = self.links.get(entry.host)
-            if link is None:
-                dest = self.dests.setdefault(entry.destination, Dest())
-                self.kinds.setdefault(entry.kind, [0.0, 0.0, 0.0])[0] += not dest.links
-                route = Route() if self.kind(entry).apart or not dest.links else dest.links[0].route
-                # The lot keeps relays with nothing to go by from all beginning at one link.
-                link = self.links[entry.host] = Link(entry, route, self.lots.random())
-                dest.links.append(link)
-            link.entry, link.ready = entry, entry.state is i.HostState.READY
+                if link.host not in listed:
+                    link.ready = False
+                    self.gone.append((self.now + FORGET, link))
+
+    def meet(self, entry: i.HostEntry) -> None:
+        link = self.links.get(entry.host)
+        if link is None:
+            dest = self.dests.setdefault(entry.destination, Dest())
+            self.kinds.setdefault(entry.kind, [0.0, 0.0, 0.0])[0] += not dest.links
+            route = Route() if self.kind(entry).apart or not dest.links else dest.links[0].route
+            # The lot keeps relays with nothing to go by from all beginning at one link.
+            link = self.links[entry.host] = Link(entry, route, self.lots.random())
+            dest.links.append(link)
+        link.entry, link.ready = entry, entry.state is i.HostState.READY
+        if entry.state is i.HostState.GONE:
+            self.gone.append((self.now + FORGET, link))
+
+    def forget(self) -> None:
+        """Danger: a fleet whose hosts are replaced all day. What is gone, with no call out, goes here too."""
+        while self.gone and self.gone[0][0] <= self.now:
+            _, link = self.gone.popleft()
+            known = self.links.get(link.host) is link
+            if link.ready or not known or link.entry.state is i.HostState.DRAINING:
+                continue
+            if link.calls:
+                self.gone.append((self.now + FORGET, link))
+                continue
+            dest = self.dests[link.entry.destination]
+            del self.links[link.host]
+            self.down.pop(link, None)
+            dest.links.remove(link)
+            if not dest.links:
+                self.kinds[link.entry.kind][0] -= 1
+                if not dest.waiting and not dest.out:
+                    del self.dests[link.entry.destination]
+        if self.gone:
+            self.due = min(self.due, self.gone[0][0])
+
+    # --- Sleep: with a sleeper, a destination without work is kept by it alone.
+
+    def awake(self, number: int) -> Dest:
+        dest = self.dests.pop(number, None)
+        if dest is None:
+            dest = Dest()
+            if self.sleeper is not None:
+                self.dests[number] = dest
+                for entry in self.sleeper.rows(number):
+                    self.meet(entry)
+                self.sleeper.wake(self, number, dest)
+        dest.used_at = self.now
+        self.dests[number] = dest   # now the last in their order
+        return dest
+
+    def fall_asleep(self) -> None:
+        for _ in range(SLEEPS):
+            number = next(iter(self.dests), None)
+            if number is None:
+                return
+            dest = self.dests[number]
+            at = dest.used_at + self.sleeper.after
+            if at <= self.now and (dest.waiting or dest.out):
+                self.awake(number)
+            elif at <= self.now:
+                self.sleeper.keep(dest.used_at, number, dest)
+                for link in dest.links:
+                    del self.links[link.host]
+                    self.down.pop(link, None)
+                del self.dests[number]
+            else:
+                self.due = min(self.due, at)
+                return
+        self.due = self.now + self.s.tick
 
     def kind(self, entry: i.HostEntry) -> i.DestinationKind:
         return self.s.kinds[entry.kind] if entry.kind < len(self.s.kinds) else i.DestinationKind()
@@ -287,10 +363,12 @@
         if told > 0:
             return told
         dest, (partners, came, _) = self.dests[link.entry.destination], self.kinds[link.entry.kind]
-        partners = max(partners, 1.0)
+        partners = max(self.sleeper.partners(link.entry.kind) if self.sleeper else partners, 1.0)
         spell = partners * (self.now - self.born) / self.s.relays
         mean = (came + PRIOR) / (spell + PRIOR * self.usual[0].x)
         asked = mean * (dest.came + PRIOR) / (came / partners + PRIOR)
+        if self.sleeper:   # thousands are asked for nothing; one that has woken takes one call at a time
+            asked = max(asked, 1 / self.usual[0].x)
         return asked / max(1, sum(k.ready for k in dest.links) if self.kind(link.entry).apart else 1)
 
     def wait_for(self, dest: Dest) -> float:
@@ -315,8 +393,8 @@
             bucket[0] -= bucket[0] >= 1
         m = Msg(e, self.s.classes[e.cls], self.now, over)
         self.msgs[m.id] = m
-        dest = self.dests.setdefault(m.dest, Dest())
-        dest.waiting[m.id] = m
+        dest = self.awake(m.dest)
+        self.wait(m, dest)
         dest.came += 1
         for link in dest.links[:1]:
             self.kinds[link.entry.kind][1] += 1
@@ -324,6 +402,14 @@
             self.keys.setdefault(m.key, deque()).append(m)
         self.sweep_at = min(self.sweep_at, self.give_up_at(m))
 
+    def wait(self, m: Msg, dest: Dest) -> None:
+        dest.waiting[m.id] = m
+        self.hot[m.dest] = dest
+
+    def unwait(self, m: Msg, dest: Dest) -> None:
+        if dest.waiting.pop(m.id, None) is not None and not dest.waiting:
+            del self.hot[m.dest]
+
     def give_up_at(self, m: Msg) -> float:
         """The last moment at which a usual call still fits, or the window of a keyed message closes."""
         usual = min((self.call_time(k.route, m.cls) for k in self.dests[m.dest].links if k.ready),
@@ -336,7 +422,7 @@
         """Answer what can no longer make it, at once; a full store gives up what is worth least."""
         if self.now >= self.sweep_at:
             self.sweep_at = inf
-            for dest in self.dests.values():
+            for dest in list(self.hot.values()):
                 for m in list(dest.waiting.values()):
                     at = self.give_up_at(m)
                     if at <= self.now:
@@ -347,7 +433,7 @@
         if excess > 0:
             # A full store turns away the next whatever its worth; choose instead.
             ranked = []
-            for dest in self.dests.values():
+            for dest in self.hot.values():
                 at = self.now + self.wait_for(dest)
                 ranked += [(self.worth(m, at), -m.id, m) for m in dest.waiting.values() if self.refusable(m)]
             for _, _, m in heapq.nsmallest(excess, ranked, key=lambda t: t[:2]):
@@ -367,7 +453,7 @@
         """Over; calls still out are called off and keep the key until they end."""
         m.done = True
         self.msgs.pop(m.id, None)
-        self.dests[m.dest].waiting.pop(m.id, None)
+        self.unwait(m, self.dests[m.dest])
         if m.call and self.s.cancel and not m.call.cancelled:
             self.acts.append(i.Cancel(m.id, m.attempts - 1))
         self.release(m)
@@ -400,14 +486,18 @@
         del call.msgs[m.id]
         if not call.msgs:
             link.calls.remove(call)
+            if not link.calls:
+                del self.out[link]
             self.busy -= 1
-            self.dests[m.dest].out -= 1
+            self.awake(m.dest).out -= 1
         if o.result not in call.seen:   # ten outcomes of one call are one piece of evidence
             call.seen.append(o.result)
             self.learn(link, m, call, o)
         self.touched[link.host] = link
         if m.key and o.result in RESTS:
             self.rest[m.key] = self.now + self.s.order_rest
+            if len(self.rest) > MOST_RESTS:
+                self.rest = {key: at for key, at in self.rest.items() if at > self.now}
         if o.result not in PROOF and o.result is not Result.OK:
             m.doubt = call.sent if m.doubt is None else min(m.doubt, call.sent)
             m.doubt_zone = link.entry.zone
@@ -420,7 +510,7 @@
             if spent or m.doubt is not None and m.rules.effect is Effect.UNSAFE:
                 self.give_up(m)
             else:
-                self.dests[m.dest].waiting[m.id] = m
+                self.wait(m, self.dests[m.dest])
                 self.sweep_at = min(self.sweep_at, self.give_up_at(m))
 
     def learn(self, link: Link, m: Msg, call: Call, o: i.Outcome) -> None:
@@ -434,6 +524,7 @@
                 route.part = min(route.part, 1 / self.crowd(link, self.s.tip_after))
         if o.result is Result.MOOT:
             return
+        route.woken = False
         fast = o.result is Result.CONNECT_FAILED and o.elapsed < self.s.connect_timeout / 2
         if fast or o.result is Result.OK and self.reports and not limited:
             self.capped.add(link.entry.kind)   # bound by them, if others tell a limit
@@ -511,6 +602,7 @@
         link.probe_lies = False
         if link.silent and sent < link.down_at and self.now - sent < BRIEF * self.s.tip_after:   # only slow
             link.down_at, link.tried_at = None, -inf
+            self.down.pop(link, None)
             e.x = max(e.x, (self.now - sent) / 2)   # the new pace, or the next call would look silent at once
             self.say(link, "healthy", "answers")
             return
@@ -522,6 +614,7 @@
 
     def back(self, link: Link) -> None:
         link.down_at, link.tried_at = None, -inf
+        self.down.pop(link, None)
         link.ramp, link.tokens, link.tokens_at = self.now, self.random.random(), self.now
         link.route.part = 1 / self.knowers(link)   # all that know hold messages now
         self.say(link, "returning", "answers")
@@ -537,12 +630,20 @@
         if link.fails >= FAILS and link.bad >= BAD or few and link.fails >= FAILS_FEW:
             self.go_down(link, f"{result.name.lower()} on end")
 
+    def suspect(self, link: Link, since: float) -> None:
+        """A link that wakes under suspicion: its first call is a trial, its answer begins a cold return."""
+        link.down_at, link.since, link.bad, link.fails = self.now, since, BAD, FAILS
+        self.down[link] = None
+        link.route.pause, link.route.trials = RETRY_FIRST * max(e.x for e in self.usual), 0
+        link.route.trial_at = -inf
+
     def go_down(self, link: Link, why: str) -> None:
         """Stop a link; its return will be paced as one from an outage, whatever the cause was."""
         if link.down_at is not None:
             return
         link.since = self.now if link.ramp is None else link.since
         link.down_at, link.ramp, link.silent = self.now, None, why.startswith("silent")
+        self.down[link] = None
         link.route.pause, link.route.trials = RETRY_FIRST * max(e.x for e in self.usual), 0
         self.next_trial(link, 0.0)
         self.say(link, "suspect", why)
@@ -562,9 +663,9 @@
         ones go; with none, unsafe ones too. Hurts a message that was about to be delivered late.
         """
         free = self.s.slots - self.busy
-        if free > (1 - SCARCE) * self.s.slots or not any(d.waiting for d in self.dests.values()):
+        if free > (1 - SCARCE) * self.s.slots or not self.hot:
             return
-        for link in self.links.values():
+        for link in self.out:
             for call in link.calls:
                 stopped = link.down_at is not None and call.sent < link.down_at
                 unsafe = any(m.rules.effect is Effect.UNSAFE for m in call.msgs.values())
@@ -583,8 +684,8 @@
         Danger: with tau the time left a hung link shows no time-out. Covers silent hosts and pauses; hurts
         where a link slows manyfold at once, which then gets single trials for a while.
         """
-        for link in self.links.values():
-            if not link.calls or link.down_at is not None:
+        for link in self.out:
+            if link.down_at is not None:
                 continue
             weight, speed, ready = 0.0, 0.0, inf
             for call in link.calls:
@@ -628,6 +729,8 @@
         at = route.wait_until
         if link.down_at is not None:
             return max(at, route.trial_at)
+        if route.woken and any(k.calls for k in self.dests[link.entry.destination].links if k.route is route):
+            return inf   # the first call after a sleep goes alone
         idle = min(max(now - route.tokens_at, 0.0), PART_BACK * self.s.tip_after)
         route.part = min(PART_MOST, route.part * (1 + idle / (PART_BACK * self.s.tip_after)))
         pace = self.rate(link) * route.part
@@ -735,7 +838,7 @@
         """Fill the free slots with what earns most, no destination beyond its share."""
         self.send_probes()
         free = self.s.slots - self.busy
-        waiting = [n for n, d in self.dests.items() if d.waiting]
+        waiting = list(self.hot)
         best = {n: found for n in waiting if free > 0 and (found := self.candidate(self.dests[n]))}
         while free > 0 and best:
             n = max(best, key=lambda k: best[k][0])
@@ -756,7 +859,7 @@
             self.calls[one.id, one.attempts] = one, call
             call.msgs[one.id], one.call = one, call
             one.attempts += 1
-            dest.waiting.pop(one.id, None)
+            self.unwait(one, dest)
         if link.down_at is not None:
             link.tried_at = self.now
             link.route.trials += 1
@@ -766,6 +869,7 @@
         if link.idle:
             link.idle.pop()
         link.calls.append(call)
+        self.out[link] = None
         self.busy, dest.out = self.busy + 1, dest.out + 1
 
     def close_idle(self) -> None:
@@ -786,8 +890,8 @@
         """Where only messages wait that a failed trial might cost, a probe tries in their place."""
         if not self.s.probes:
             return
-        for link in self.links.values():
-            if link.down_at is None or not link.ready or link.probe_out or link.probe_lies:
+        for link in self.down:
+            if not link.ready or link.probe_out or link.probe_lies:
                 continue
             waiting = self.dests[link.entry.destination].waiting.values()
             if any(m.rules.effect is Effect.SAFE or m.doubt is not None for m in waiting):
--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -146,14 +146,14 @@
 class Facade:
     """One sender's decisions. Nothing is decided between ticks."""
 
-    def __init__(self, settings: i.Settings, seed: int) -> None:
-        self._settings, self._relay = settings, Relay(settings, seed)
+    def __init__(self, settings: i.Settings, seed: int, sleeper: i.Sleeper | None = None) -> None:
+        self._settings, self._sleeper = settings, sleeper
+        self._relay = Relay(settings, seed, sleeper)
         self._facts: list[i.Event] = []
         self._orders: deque = deque()
         self._known: dict[str, _Known] = {}
         self._numbers: dict[int, _Known] = {}
         self._last = 0
-        self._kinds: dict[str, int] = {}
         self._bell: tuple[float, int] | None = None
 
     # --- In.
@@ -162,10 +162,15 @@
         """Queue a fact for the next tick. What is unknown or long over is passed over."""
         match fact:
             case Table(how, servers, version):
+                if self._sleeper is not None:
+                    # The list is the sleeper's; the decisions hear of those that are awake, and ask for the rest.
+                    awake = self._relay.dests
+                    servers = [s for s in servers if s.destination in awake] if how == "changes" else []
                 entries = [
                     i.HostEntry(s.name, s.destination, _STATES[s.health], s.kind, s.zone, s.share, s.born)
                     for s in servers]
-                self._kinds.update((e.host, e.kind) for e in entries)
+                if self._sleeper is not None and how != "changes":
+                    entries = [row for number in awake for row in self._sleeper.rows(number)]
                 self._facts.append(i.Hosts(_LISTS[how], entries, version))
             case Take(request, cls, destination, left, key, again, held, used):
                 self._last += 1
@@ -233,7 +238,7 @@
         known.out.add(known.attempts)
         known.attempts += 1
         call = open_calls.get(server)
-        if call is None or len(call.items) >= self._settings.kinds[self._kinds[server]].batch:
+        if call is None or len(call.items) >= self._settings.kinds[self._relay.links[server].entry.kind].batch:
             call = open_calls[server] = Dispatch(server, [])
             self._orders.append(call)
         call.items.append(item)
@@ -249,6 +254,10 @@
         """The next thing to do, or None when there is nothing before another tick."""
         return self._orders.popleft() if self._orders else None
 
+    def awake(self) -> list[tuple[int, object]]:
+        """The destinations with work or lately so, for who keeps what was learned of them."""
+        return list(self._relay.dests.items())
+
     def advice(self, destination: int) -> float:
         """How many seconds a client that is denied at the door should stay away."""
         dest = self._relay.dests.get(destination)
--- a/linkdock/interface.py
+++ b/linkdock/interface.py
@@ -9,6 +9,7 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
+from typing import Protocol
 
 Host = Hashable
 MOST_NOTE = 256   # bytes that one note to a sibling may hold
@@ -226,6 +227,24 @@
     data: bytes
 
 
+class Sleeper(Protocol):
+    """Who has the list of hosts, and what was learned of destinations without work."""
+
+    after: float   # seconds without work after which a destination falls asleep
+
+    def rows(self, destination: int) -> list[HostEntry]:
+        """What is listed for it."""
+
+    def partners(self, kind: int) -> int:
+        """How many destinations of a kind are listed."""
+
+    def keep(self, at: float, destination: int, dest: object) -> None:
+        """It falls asleep: keep what its links have learned until then, when it last had work."""
+
+    def wake(self, relay: object, destination: int, dest: object) -> None:
+        """It wakes with the links that are listed: give them what was kept, as far as it still counts."""
+
+
 Event = Hosts | Message | Outcome | Started | Withdrawn | Probed | TimerDue | PeerMessage
 
 
--- /dev/null
+++ b/linkdock/lab/members.py
@@ -0,0 +1,108 @@
+"""What a member can take, as the platform's rules have it: limits, queues, cold returns that topple. No I/O.
+
+A member answers each call at once with what will come of it; sockets or a virtual clock carry that out. It also keeps
+the account that the fail-back rule asks for, so that an experiment can say whether it was ever given too much.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+from typing import NamedTuple
+
+OK, FULL, SILENT, UNREACHABLE = "ok", "full", "silent", "unreachable"
+
+
+class Reply(NamedTuple):
+    """What comes of one call: after `delay` seconds, with a wait that binds and a load report (left, limit)."""
+
+    how: str
+    delay: float
+    wait: float = 0.0
+    report: tuple[float, float] | None = None
+
+
+@dataclass(slots=True)
+class Rules:
+    """The rules' figures that a member lives by; seconds."""
+
+    fall_multiple: float = 1.5
+    fall_time: float = 2.0
+    cold_time: float = 10.0
+    cold_share: float = 0.35
+
+
+@dataclass(slots=True)
+class Member:
+    """One member. `rate` is the messages a second that it takes when warm; `service` its usual call in seconds."""
+
+    number: int
+    rules: Rules
+    random: Random
+    rate: float = 40.0
+    service: float = 0.1
+    up: bool = True
+    answers_when_down: bool = False   # refuses connections, or stays silent
+    cold_since: float | None = None
+    toppled: int = 0
+    most_over: float = 0.0            # the highest share of what it could take in a window of the rule, when cold
+    calls: int = 0
+    served: int = 0
+    _tokens: float = 1.0
+    _tokens_at: float = 0.0
+    _window: deque[float] = field(default_factory=deque)
+
+    def present(self, now: float) -> float:
+        """Messages a second that it can do now."""
+        if self.cold_since is None:
+            return self.rate
+        age = now - self.cold_since
+        if age >= self.rules.cold_time:
+            self.cold_since = None
+            return self.rate
+        share = self.rules.cold_share
+        return self.rate * (share + (1 - share) * age / self.rules.cold_time)
+
+    def fall(self) -> None:
+        self.up = False
+        self._window.clear()
+
+    def come_back(self, now: float) -> None:
+        """Up again, and cold."""
+        self.up, self.cold_since = True, now
+        self._tokens, self._tokens_at = 1.0, now
+        self._window.clear()
+
+    def call(self, now: float, messages: int = 1) -> Reply:
+        """One call with so many messages arrives."""
+        self.calls += messages
+        if not self.up:
+            return Reply(UNREACHABLE, 0.002) if self.answers_when_down else Reply(SILENT, 0.0)
+        present = self.present(now)
+        if self.cold_since is not None and self._too_much(now, messages, present):
+            self.toppled += 1
+            self.fall()
+            return Reply(SILENT, 0.0)
+        # A bucket of half a second of its rate; what is beyond hears a wait.
+        most = max(1.0, 0.5 * present)
+        self._tokens = min(most, self._tokens + (now - self._tokens_at) * present)
+        self._tokens_at = now
+        left = max(0.0, self._tokens - messages) / most
+        if self._tokens < messages:
+            wait = (messages - self._tokens) / present
+            return Reply(FULL, 0.002, max(0.05, wait), (0.0, self.rate))
+        self._tokens -= messages
+        self.served += messages
+        return Reply(OK, self.random.expovariate(1 / self.service), 0.0, (left, self.rate))
+
+    def _too_much(self, now: float, messages: int, present: float) -> bool:
+        """The rule: within any window no more than multiple x present capacity x window; one call is always lawful."""
+        window, span = self._window, self.rules.fall_time
+        while window and window[0] <= now - span:
+            window.popleft()
+        window.extend([now] * messages)
+        most = self.rules.fall_multiple * present * span
+        if len(window) > 1:
+            self.most_over = max(self.most_over, len(window) / most)
+        return len(window) > max(1.0, most)
--- /dev/null
+++ b/linkdock/lab/virtual.py
@@ -0,0 +1,150 @@
+"""The decisions alone against members, on a virtual clock: a day in seconds, and one seed is one schedule."""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from .. import interface as i
+from ..decide import Relay
+from . import members as m
+
+TRIP = 0.01   # seconds to a member and back
+
+
+@dataclass(slots=True)
+class Tally:
+    """What became of the messages of one kind."""
+
+    asked: int = 0
+    served: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    waits: list[float] = field(default_factory=list)   # from the request to its delivery
+
+    def share(self) -> float:
+        return self.served / self.asked if self.asked else 1.0
+
+
+class World:
+    """One relay, its members and its clock. `host_of` names the members that a host belongs to."""
+
+    def __init__(self, settings: i.Settings, seed: int, sleeper: i.Sleeper | None,
+                 members: dict[int, m.Member], member_of: Callable[[str], int]) -> None:
+        self.relay = Relay(settings, seed, sleeper)
+        self.settings, self.members, self.member_of = settings, members, member_of
+        self.now, self.random = 0.0, Random(seed)
+        self._events: list[tuple[float, int, object]] = []
+        self._order, self._ids = count(), count(1)
+        self._batch: list[i.Event] = []
+        self._open: dict[int, tuple[float, float, str]] = {}    # id: asked at, deadline, of which kind
+        self._out: dict[tuple[int, int], tuple[str, float]] = {}
+        self._attempts: Counter[int] = Counter()
+        self._bell: tuple[float, int] | None = None
+        self.tallies: dict[str, Tally] = {}
+        self.passes, self.pass_time, self.longest_pass = 0, 0.0, 0.0
+        self.cpu: list[float] = []
+
+    # --- What happens.
+
+    def at(self, when: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when, next(self._order), what))
+
+    def ask(self, when: float, destination: int, cls: int = 0, kind: str = "") -> None:
+        self.at(when, lambda: self._ask(destination, cls, kind))
+
+    def _ask(self, destination: int, cls: int, kind: str) -> None:
+        number, deadline = next(self._ids), self.settings.classes[cls].deadline
+        self._open[number] = self.now, self.now + deadline, kind
+        self.tallies.setdefault(kind, Tally()).asked += 1
+        self._batch.append(i.Message(number, cls, destination, deadline))
+
+    def tell(self, event: i.Event) -> None:
+        self._batch.append(event)
+
+    # --- The clock.
+
+    def run(self, until: float) -> None:
+        """Go on to a time; passes are run at ticks, and only where there is something to decide."""
+        tick = self.settings.tick
+        while True:
+            due = min(self._events[0][0] if self._events else until, self._bell[0] if self._bell else until)
+            if due >= until and not self._batch:
+                self.now = max(self.now, until)
+                return
+            self.now = max(self.now, (int(due / tick) + 1) * tick if due > self.now else self.now + tick)
+            while self._events and self._events[0][0] <= self.now:
+                heapq.heappop(self._events)[2]()
+            if self._bell is not None and self._bell[0] <= self.now:
+                self._batch.append(i.TimerDue(self._bell[1]))
+                self._bell = None
+            if self._batch:
+                batch, self._batch = self._batch, []
+                began = time.perf_counter()
+                actions = self.relay.handle(self.now, batch)
+                took = time.perf_counter() - began
+                self.passes, self.pass_time = self.passes + 1, self.pass_time + took
+                self.longest_pass = max(self.longest_pass, took)
+                self.cpu.append(took)
+                self._carry_out(actions)
+
+    def _carry_out(self, actions: Iterable[i.Action]) -> None:
+        for action in actions:
+            match action:
+                case i.Send(number, host, limit):
+                    self._send(number, host, limit)
+                case i.Refuse(number, _):
+                    self._end(number, "refused")
+                case i.Fail(number):
+                    self._end(number, "failed")
+                case i.Cancel(number, attempt):
+                    if (number, attempt) in self._out:
+                        self._outcome(number, attempt, i.Result.CANCELLED)
+                case i.SetTimer(at, token):
+                    self._bell = at, token
+
+    def _send(self, number: int, host: str, limit: float) -> None:
+        attempt = self._attempts[number]
+        self._attempts[number] += 1
+        self._out[number, attempt] = host, self.now
+        left = self._open[number][1] - self.now
+        limit = min(limit or left, left)
+        reply = self.members[self.member_of(host)].call(self.now + TRIP / 2)
+        after = TRIP + reply.delay
+        report = None if reply.report is None else i.Report(*reply.report)
+        if reply.how == m.UNREACHABLE:
+            self.at(self.now + after, lambda: self._outcome(number, attempt, i.Result.CONNECT_FAILED))
+        elif reply.how == m.SILENT or after > limit:
+            self.at(self.now + limit, lambda: self._outcome(number, attempt, i.Result.TIMEOUT))
+        else:
+            result = i.Result.OK if reply.how == m.OK else i.Result.FULL
+            self.at(self.now + after, lambda: self._outcome(number, attempt, result, reply.wait, report))
+
+    def _outcome(self, number: int, attempt: int, result: i.Result, wait: float = 0.0,
+                 report: i.Report | None = None) -> None:
+        known = self._out.pop((number, attempt), None)
+        if known is None:
+            return
+        host, sent = known
+        if result is i.Result.OK:
+            self._end(number, "served")
+        self._batch.append(i.Outcome(number, attempt, host, result, self.now - sent, result is i.Result.OK, wait,
+                                     report))
+
+    def _end(self, number: int, how: str) -> None:
+        known = self._open.pop(number, None)
+        if known is None:
+            return
+        asked, deadline, kind = known
+        tally = self.tallies[kind]
+        if how == "served" and self.now > deadline:
+            how = "late"
+        setattr(tally, how, getattr(tally, how) + 1)
+        if how == "served":
+            tally.waits.append(self.now - asked)
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -87,7 +87,7 @@
     """One dispatch. It owns its connection while it runs, and ends each of its items once."""
 
     def __init__(self, backend: Backend, order: Order, requests: list[Request]) -> None:
-        self._b, self.server = backend, order.server
+        self._b, self.server, self._row = backend, order.server, backend.table.row(order.server)
         self._requests = {r.id: r for r in requests}
         self.items = {item.request: item for item in order.items}   # without an outcome yet
         self._given_up: set[str] = set()
@@ -163,7 +163,11 @@
                 (pool.give_back if reusable else pool.discard)(self._connection)
 
     async def _exchange(self) -> bool:
-        b, dial = self._b, self._b.table.rows[self.server].dial
+        if self._row is None:   # gone since the decisions chose it
+            for request in list(self.items):
+                self._end(request, NOT_SENT)
+            return False
+        b, dial = self._b, self._row.dial
         self._connection = b.pool.take(self.server, dial)
         while self._connection is not None and (rest := self._connection.rested_at - b.wheel.now) > 0:
             # Danger: what still comes behind the last answer would pass for the answer to this call.
@@ -267,7 +271,7 @@
         """What every answer may tell besides its outcome: a wait and a load report."""
         wait = _number(head.headers.get("retry-after", "")) or 0.0
         if wait:
-            route = self._b.table.told_wait(self.server, self._b.clock() + wait)
+            route = self._b.table.told_wait(self._row, self._b.clock() + wait)
             if self._b.observer is not None:
                 self._b.observer.wait(self.server, route, wait)
         return {"wait": wait, "load": self._b.load(head.headers)}
--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -1,56 +1,139 @@
-"""The discovery watch: the server table's news, line by line, for as long as the process runs."""
+"""The discovery watch: the server table's news, row by row, for as long as the process runs."""
 
 from __future__ import annotations
 
-import json
+import asyncio
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..facade import Server
+from ..state.roster import Roster
 from ..state.wheel import Wheel
 from . import http
+from .listing import ListReader, Rows
 
 log = logging.getLogger(__name__)
 
 SILENCE = 2.8    # an empty line comes every 2 s; without any the watch is dead, whatever TCP thinks
 PAUSE = 0.2      # before it is opened again
-MOST_LINE = 1 << 20
+PIECE = 8 * 1024          # bytes that are read between two turns of the loop: some 65 rows, 2 ms
+MOST_CHANGES = 200        # rows of a change that are handed on at once
+MOST_UNTOLD = 20_000      # rows that are held while a line has not told whether it is whole
+MOST_PASSED = 20          # rows of one line that cannot be read and are named in the log
+
+
+def read_row(row: object, zones: list[str], kinds: list[str]) -> Server:
+    """One line of a list. Raises ValueError, KeyError, TypeError or AttributeError for one that cannot be read."""
+    address, _, port = row["dial"].rpartition(":")
+    health = row["health"]
+    if health not in ("ready", "draining", "gone"):
+        raise ValueError(f"health {health!r}")
+    number = int(port)
+    if not 0 <= number <= 65535:
+        raise ValueError(f"port {port}")
+    destination = int(row["block"])
+    if not -(1 << 63) <= destination < 1 << 63:
+        raise ValueError(f"block {destination}")
+    return Server(
+        str(row["host"]), (address, number), destination, health,
+        kinds.index(row["class"]) if row["class"] in kinds else 0,
+        zones.index(row["site"]) if row["site"] in zones else 0,
+        float(row.get("share", 1.0)), float(row.get("born_ms", 0)) / 1000)
+
+
+def read_rows(rows: Iterable[object], zones: list[str], kinds: list[str]) -> list[Server]:
+    """The rows that can be read; the log names those that cannot."""
+    servers, passed = [], 0
+    for row in rows:
+        try:
+            servers.append(read_row(row, zones, kinds))
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as bad:
+            passed += 1
+            if passed <= MOST_PASSED:
+                log.warning("discovery: a line was passed over: %.200r: %s", row, bad)
+    if passed > MOST_PASSED:
+        log.warning("discovery: %d lines were passed over in all", passed)
+    return servers
 
 
 def read_news(told: object, zones: list[str], kinds: list[str]) -> tuple[bool, list[Server], int]:
-    """A list as discovery and the configuration hold it: whether it is whole, its lines, its version."""
+    """A list as the configuration holds it: whether it is whole, its rows, its version."""
     if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
         raise ValueError("no list of hosts")
-    servers = []
-    for row in told["hosts"]:
-        try:
-            address, _, port = row["dial"].rpartition(":")
-            health = row["health"]
-            if health not in ("ready", "draining", "gone"):
-                raise ValueError(f"health {health!r}")
-            servers.append(Server(
-                str(row["host"]), (address, int(port)), int(row["block"]), health,
-                kinds.index(row["class"]) if row["class"] in kinds else 0,
-                zones.index(row["site"]) if row["site"] in zones else 0,
-                float(row.get("share", 1.0)), float(row.get("born_ms", 0)) / 1000))
-        except (KeyError, TypeError, ValueError, AttributeError) as bad:
-            log.warning("discovery: a line was passed over: %r: %s", row, bad)
+    servers = read_rows(told["hosts"], zones, kinds)
     if not isinstance(told.get("seq", 0), int):
         raise ValueError("seq is no whole number")
     return bool(told.get("whole")), servers, told.get("seq", 0)
 
 
+class Desk(Protocol):
+    """Who takes the news."""
+
+    def changed(self, servers: list[Server], version: int | None) -> None:
+        """Rows that changed; the version comes with the last of a line."""
+
+    def whole(self, roster: Roster, version: int) -> None:
+        """A whole list."""
+
+
+class Staging:
+    """One line while it comes in: a whole list is built beside the one in force, changes are handed on."""
+
+    def __init__(self, desk: Desk, most: int) -> None:
+        self._desk, self._most = desk, most
+        self._roster: Roster | None = None
+        self._untold: list[Server] = []
+        self._count, self._refused = 0, False
+
+    def rows(self, servers: list[Server], whole: bool | None) -> None:
+        self._count += len(servers)
+        if self._refused:
+            return
+        if whole is None:
+            self._untold += servers
+            if len(self._untold) > MOST_UNTOLD:
+                self._refuse(f"more than {MOST_UNTOLD} rows come before `whole`")
+            return
+        if not whole:
+            for n in range(0, len(servers), MOST_CHANGES):
+                self._desk.changed(servers[n:n + MOST_CHANGES], None)
+            return
+        self._roster = self._roster or Roster()
+        for server in servers:
+            self._roster.put(server)
+        if self._roster.size() > self._most:
+            self._refuse(f"{len(self._roster)} rows are as many as limits.memory_mb gives room for "
+                         f"({self._most / 1e6:.1f} MB)")
+
+    def _refuse(self, why: str) -> None:
+        """Danger: half a list in force. What cannot be held whole is not taken at all."""
+        log.error("discovery: a whole list was refused: %s; the list in force stays", why)
+        self._refused, self._roster, self._untold = True, None, []
+
+    def told(self, whole: bool, version: int) -> None:
+        untold, self._untold = self._untold, []
+        if untold:
+            self.rows(untold, whole)
+        if not self._refused:
+            if whole:
+                self._desk.whole(self._roster or Roster(), version)
+            else:
+                self._desk.changed([], version)
+        self._roster, self._count, self._refused = None, 0, False
+
+
 class Watch:
     """Keeps one watch open and hands its news on. `version` tells from where to go on."""
 
-    def __init__(self, dial: tuple[str, int], wheel: Wheel, pause: Callable,
-                 zones: list[str], kinds: list[str], version: Callable[[], int],
-                 news: Callable[[bool, list[Server], int], None]) -> None:
+    def __init__(self, dial: tuple[str, int], wheel: Wheel, pause: Callable, zones: list[str], kinds: list[str],
+                 version: Callable[[], int], desk: Desk, most_list: int) -> None:
         self._dial, self._wheel, self._pause = dial, wheel, pause
-        self._zones, self._kinds, self._version, self._news = zones, kinds, version, news
+        self._zones, self._kinds, self._version = zones, kinds, version
+        self._desk, self._most_list = desk, most_list
         self._stream: IOStream | None = None
         self._closed = False
 
@@ -69,31 +152,36 @@
 
     async def _watch(self) -> None:
         self._stream = stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM),
-                                         max_buffer_size=4 * MOST_LINE)
+                                         max_buffer_size=1 << 20)
         # Danger: discovery that is down stays silent on an open connection, and so does one cut off.
         timer = self._wheel.after(SILENCE, stream.close)
         try:
             await stream.connect(self._dial)
             path = f"/api/targets?watch=1&from={self._version()}"
             await stream.write(http.request("GET", path, self._dial))
-            parser, rest = http.AnswerParser(most_body=None), b""
+            parser, reader = http.AnswerParser(most_body=None), ListReader()
+            staging = Staging(self._desk, self._most_list)
             while not parser.whole:
-                data = await stream.read_bytes(MOST_LINE, partial=True)
+                data = await stream.read_bytes(PIECE, partial=True)
                 timer.cancel()
                 timer = self._wheel.after(SILENCE, stream.close)
                 for part in parser.feed(data):
                     if isinstance(part, http.Head) and part.status != 200:
                         raise http.BadAnswer(f"status {part.status}")
                     if isinstance(part, http.Body):
-                        *lines, rest = (rest + part.data).split(b"\n")
-                        for line in lines:
-                            if line.strip():
-                                self._news(*read_news(json.loads(line), self._zones, self._kinds))
-                        if len(rest) > MOST_LINE:
-                            raise http.BadAnswer("a line without end")
+                        self._take(staging, reader, part.data)
+                # Danger: a long list that has all come in. Without a turn for others no tick runs until its end.
+                await asyncio.sleep(0)
         finally:
             timer.cancel()
 
+    def _take(self, staging: Staging, reader: ListReader, data: bytes) -> None:
+        for part in reader.feed(data):
+            if isinstance(part, Rows):
+                staging.rows(read_rows(part.rows, self._zones, self._kinds), part.whole)
+            else:
+                staging.told(part.whole, part.version)
+
     def move(self, dial: tuple[str, int]) -> None:
         """Discovery has another address: the watch goes on there, from the version that is known."""
         self._dial = dial
--- a/linkdock/records/observer.py
+++ b/linkdock/records/observer.py
@@ -8,6 +8,7 @@
 
 import os
 from collections.abc import Iterable
+from itertools import islice
 
 from ..facade import CANCELLED, DELIVERED, NEVER_RAN, Item, Server
 from ..state.journal import Kept
@@ -38,9 +39,9 @@
         self._note(e.STOPPED, owed=owed)
         self._recorder.close()
 
-    def table(self, version: int, whole: bool, servers: Iterable[Server]) -> None:
-        rows = [[s.name, s.destination, s.health] for s in servers]
-        self._note(e.TABLE, version=version, whole=whole, count=len(rows), changes=rows[:MOST_NAMED])
+    def table(self, version: int, whole: bool, count: int, servers: Iterable[Server]) -> None:
+        rows = [[s.name, s.destination, s.health] for s in islice(servers, MOST_NAMED)]
+        self._note(e.TABLE, version=version, whole=whole, count=count, changes=rows)
 
     # --- Clients.
 
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -30,6 +30,7 @@
 from .service.config import Config
 from .state.journal import Journal, Kept
 from .state.requests import Answer, Busy, Failed, Refused, Request, Requests, Taken
+from .state.roster import Roster
 from .state.table import ServerTable
 
 if TYPE_CHECKING:
@@ -102,12 +103,20 @@
         except ValueError:
             raise Refused("the key is not hexadecimal") from None
 
-    def news(self, whole: bool, servers: list[Server], version: int) -> None:
-        """Discovery has told of changes, or the whole list."""
-        self._table.update(whole, servers, version)
+    def changed(self, servers: list[Server], version: int | None) -> None:
+        """Discovery has told of changes; the version comes with the last of them."""
+        self._table.update(servers, self._table.version if version is None else version)
+        if self.observer is not None and servers:
+            self.observer.table(self._table.version, False, len(servers), servers)
+        if servers:
+            self._facade.report(Table("changes", servers, self._table.version))
+
+    def whole(self, roster: Roster, version: int) -> None:
+        """Discovery has told its whole list: what that leaves out is gone."""
+        self._table.replace(roster, version)
         if self.observer is not None:
-            self.observer.table(version, whole, servers)
-        self._facade.report(Table("whole" if whole else "changes", servers, version))
+            self.observer.table(version, True, len(roster), roster)
+        self._facade.report(Table("whole", roster, version))
 
     def restore(self) -> None:
         """Take up what an earlier life of this sender took on."""
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -66,6 +66,11 @@
         """Bytes of commands that are not whole yet: an eighth of the memory."""
         return int(self.memory_mb * 1e6 / 8)
 
+    @property
+    def most_list(self) -> int:
+        """Bytes that a whole list may take while it comes in beside the one in force: a tenth of the memory."""
+        return int(self.memory_mb * 1e6 / 10)
+
     @property
     def most_backends(self) -> int:
         """A third of the sockets; the last third is for what else a process opens."""
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -6,7 +6,7 @@
 import logging
 import signal
 import sys
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING
 
 from ..facade import Facade, Table
@@ -24,12 +24,14 @@
 
 if TYPE_CHECKING:
     from ..records.observer import Observer
+    from ..state.snapshots import Dormancy
 
 log = logging.getLogger(__name__)
 
 IDLE_MARGIN = 0.75      # seconds before the other side's idle-close at which a connection is retired
 ACCEPT_FOR = 0.5        # seconds after SIGTERM in which new connections may still come: up to 0.4
 NO_UNSAFE_AFTER = 1.7   # seconds after SIGTERM from which what may not be repeated is not started
+TIDY_EVERY = 5.0        # seconds between looks for what the server table may forget
 LOOK_EVERY = 0.05       # seconds between looks whether it could leave before:
 LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
 
@@ -43,6 +45,7 @@
         self._failed: BaseException | None = None
         self._stopping = False
         self._stop = asyncio.Event()
+        self._due, self._hold = self._loop.time(), 0.0   # of the next beat; the latest that one came
         settings, clock = config.settings, self._loop.time
         self._config = config
         self._wheel = Wheel(settings.tick, clock())
@@ -50,14 +53,15 @@
             self._journal = Journal(config.state, int(config.disk_mb * 1e6))
         except OSError as bad:
             raise ConfigError(f"RELAY_STATE: {bad}") from None
-        table = ServerTable(kind.apart for kind in settings.kinds)
-        facade = Facade(settings, config.seed)
+        table = self._table = ServerTable((kind.apart for kind in settings.kinds), clock)
+        self._dormancy = self._sleep(config, table, clock)
+        facade = Facade(settings, config.seed, None if self._dormancy is None else self._dormancy.sleeper)
         if config.known:
             try:
                 _, servers, version = read_news(config.known, config.zones, config.kinds)
             except ValueError as bad:
                 raise ConfigError(f"known: {bad}") from None
-            table.update(True, servers, version)
+            table.update(servers, version)
             facade.report(Table("kept", servers, version))
         self.sender = Sender(config, clock, self.spawn, facade, self._journal, table)
         idle_for = max(settings.idle_close - IDLE_MARGIN, settings.idle_close / 2)
@@ -67,18 +71,22 @@
         self._notices = self.sender.notices = Notices(config.discovery, self._wheel, self._wheel.pause,
                                                       self.sender.confirmed)
         self._watch = Watch(config.discovery, self._wheel, self._wheel.pause, config.zones, config.kinds,
-                            lambda: table.version, self.sender.news)
+                            lambda: table.version, self.sender, config.most_list)
         self._observer = self._records(config)
         for part in (self.sender, self.sender.backend, self._notices):
             part.observer = self._observer
         self.sender.restore()
         self.spawn(self._notices.run())
         self.spawn(self._watch.run())
+        self._tidy()
+        if self._dormancy is not None:
+            self.spawn(self._dormancy.run(self._wheel.pause, lambda: facade.awake()))
         try:
             self.frontend = Frontend(self.sender, config.listen, self._wheel, self.spawn, config.most_clients,
                                      config.usual_clients, config.most_held)
         except OSError as bad:
             raise ConfigError(f"listen: {bad}") from None
+        self._due = self._loop.time()   # what came before was the start
         self.frontend.observer = self._observer
         if self._observer is not None:
             self._observer.ready(self.frontend.port)
@@ -95,6 +103,21 @@
         except (OptionError, OSError) as bad:
             raise ConfigError(str(bad)) from None
 
+    def _sleep(self, config: Config, table: ServerTable, clock: Callable[[], float]) -> Dormancy | None:
+        """What idle destinations are kept in, where `deploy/dormancy.json` switches it on."""
+        try:
+            text = switched_on("dormancy")
+            if text is None:
+                return None
+            from ..state.snapshots import Dormancy
+            return Dormancy(text, config, table, clock)
+        except OptionError as bad:
+            raise ConfigError(str(bad)) from None
+
+    def _tidy(self) -> None:
+        self._table.forget()
+        self._wheel.after(TIDY_EVERY, self._tidy)
+
     def spawn(self, work: Coroutine) -> None:
         """Run a coroutine. Each gives back what it holds on its way out, so that a failure stays its own."""
         task = self._loop.create_task(work)
@@ -108,7 +131,10 @@
 
     def _beat(self) -> None:
         """Once a tick: timers, then decisions."""
-        self._loop.call_at(self._loop.time() + self._wheel.tick, self._beat)
+        now = self._loop.time()
+        self._hold = max(self._hold, now - self._due)
+        self._due = now + self._wheel.tick
+        self._loop.call_at(self._due, self._beat)
         try:
             self._wheel.advance(self._loop.time())
             self.sender.beat()
@@ -157,6 +183,7 @@
         await self._stop.wait()
         self._loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)   # by default it would end the process
+        log.info("the longest hold of the loop: %.1f ms", 1000 * self._hold)
         self.frontend.close()
         tasks = list(self._tasks)
         for task in tasks:
@@ -164,6 +191,8 @@
         await asyncio.gather(*tasks, return_exceptions=True)   # calls still put proofs on record
         for part in (self._watch, self._notices, self._pool, self._journal):
             part.close()
+        if self._dormancy is not None:
+            self._dormancy.close()
         if self._observer is not None:
             self._observer.close(len(self._journal.kept))
         if self._failed is not None:
--- /dev/null
+++ b/linkdock/state/snapshots.py
@@ -0,0 +1,112 @@
+"""Snapshots on disk of what was learned, and the sleeper that they fill. The journal always comes first.
+
+A snapshot is written in slices beside the one before and takes its place when it is whole. What cannot be read is
+refused in one log line, and the sender starts without: it then knows as little as any that is new.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import time
+from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
+
+from ..dormancy import settings as shape
+from ..dormancy import snapshot
+from ..dormancy.memory import pack, size_of
+from ..dormancy.sleeper import Sleeper
+from ..options import OptionError
+
+if TYPE_CHECKING:
+    from ..service.config import Config
+    from .table import ServerTable
+
+log = logging.getLogger(__name__)
+
+LOAD_SLICE = 500    # rows read back between two turns
+
+
+class Dormancy:
+    """Owner of the sleeper and of the snapshot's files."""
+
+    def __init__(self, text: bytes, config: Config, table: ServerTable, clock: Callable[[], float]) -> None:
+        self.settings = shape.read(text, int(config.disk_mb * 1e6))
+        self._clock, names = clock, config.class_names
+        self.sleeper = Sleeper(lambda: table.roster, len(names), self.settings.after_s, self.settings.most_kept)
+        self._mark, self._classes = snapshot.classes_mark(names), len(names)
+        self._path, self._next = config.state / "learned", config.state / "learned.new"
+        self._failing = False
+        if self.settings.snapshot:
+            try:
+                self._next.unlink(missing_ok=True)   # a kill came in the middle of it
+            except OSError as bad:
+                raise OptionError(f"RELAY_STATE: {bad}") from None
+            self._load()
+
+    def _load(self) -> None:
+        """Danger: a file of another's making, of another version, or torn. Nothing of it is used then."""
+        try:
+            if self._path.stat().st_size > self.settings.snapshot_mb * 1e6 + 512:
+                raise snapshot.SnapshotError("longer than snapshot_mb")
+            data = self._path.read_bytes()
+            rows = list(snapshot.read(data, self._mark, self._classes, self._clock(), time.time()))
+            for destination, packed in rows:
+                self.sleeper.store.put(destination, packed)
+        except FileNotFoundError:
+            return
+        except (OSError, ValueError) as bad:
+            log.warning("what was learned is not used: %s: %s", self._path.name, bad)
+            return
+        log.info("what was learned of %d destinations is known again", len(rows))
+
+    async def run(self, pause: Callable, awake: Callable[[], list[tuple[int, object]]]) -> None:
+        """Write a snapshot now and then, for as long as the process runs."""
+        while self.settings.snapshot:
+            await pause(self.settings.snapshot_s)
+            for piece in self._write(awake()):
+                if piece is None:
+                    break
+                await asyncio.sleep(0)
+
+    def _write(self, awake: list[tuple[int, object]]) -> Iterator[int | None]:
+        """One snapshot, a slice at a time; None where it cannot be written. The file before stays until the end."""
+        now, store = self._clock(), self.sleeper.store
+        each = size_of(1, self._classes) + snapshot.ROW.size
+        most = int(self.settings.snapshot_mb * 1e6)
+        count = min(len(awake) + len(store), (most - 64) // each)
+
+        def rows() -> Iterator[tuple[int, bytes]]:
+            room = most - 64
+            for destination, dest in awake:
+                data = pack(self.sleeper.facts(now, dest))
+                room -= len(data) + snapshot.ROW.size
+                if room < 0:
+                    return
+                yield destination, data
+            for destination, data in store.items():
+                room -= len(data) + snapshot.ROW.size
+                if room < 0:
+                    return
+                yield destination, data
+        try:
+            with open(self._next, "wb", buffering=0) as file:
+                for piece in snapshot.write(rows(), count, self._mark, self._classes, now, time.time()):
+                    if file.write(piece) < len(piece):
+                        raise OSError("short write")
+                    yield len(piece)
+            os.replace(self._next, self._path)
+        except OSError as bad:
+            if not self._failing:
+                log.error("what was learned is not written: %s", bad)
+            self._failing = True
+            self._next.unlink(missing_ok=True)
+            yield None
+            return
+        self._failing = False
+
+    def close(self) -> None:
+        """A snapshot that is under way is given up; the one before stays."""
+        if self.settings.snapshot:
+            self._next.unlink(missing_ok=True)
--- a/linkdock/state/table.py
+++ b/linkdock/state/table.py
@@ -2,48 +2,86 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from math import inf
 
 from ..facade import Server
+from .roster import Roster
+
+# Danger: a destination whose last server has just gone, before its next one is told: its messages must wait for that
+# one, and a client must not hear that nobody knows it.
+KNOWN_FOR, MOST_KNOWN = 60.0, 4096   # seconds, and destinations
+MOST_WAITS = 1024                    # kept before those that are over are looked for
 
 
 class ServerTable:
-    """Owner of the rows and the waits. A row stays known after its server is gone."""
+    """Owner of the rows and the waits. `clock` says the time for what is forgotten."""
 
-    def __init__(self, apart: Iterable[bool]) -> None:
-        self._apart = list(apart)   # by kind: whether a wait binds one server or its whole destination
-        self.rows: dict[str, Server] = {}
+    def __init__(self, apart: Iterable[bool], clock: Callable[[], float] = lambda: 0.0) -> None:
+        self._apart, self._clock = list(apart), clock   # by kind: whether a wait binds one server or its destination
+        self.roster, self._before = Roster(), Roster()
         self.version = 0
         self._waits: dict[tuple, float] = {}
-        self._destinations: set[int] = set()
-
-    def update(self, whole: bool, servers: Iterable[Server], version: int) -> None:
-        """Take in changes, or a whole list: what that leaves out is gone."""
-        fresh = {s.name: s for s in servers}
-        if whole:
-            for name, row in self.rows.items():
-                fresh.setdefault(name, row._replace(health="gone"))
-        self.rows.update(fresh)
-        self._destinations.update(s.destination for s in fresh.values())
+        self._most_waits = MOST_WAITS
+        self._emptied: dict[int, float] = {}   # destinations without a row: until when they are known
+        self._before_until = -inf
+
+    def update(self, servers: Iterable[Server], version: int) -> None:
+        """Take in changes."""
+        for server in servers:
+            destination = self._destination(server) if server.health == "gone" else None
+            self.roster.put(server)
+            if destination is not None and not self.roster.knows(destination):
+                self._emptied.pop(destination, None)
+                while len(self._emptied) >= MOST_KNOWN:
+                    del self._emptied[next(iter(self._emptied))]
+                self._emptied[destination] = self._clock() + KNOWN_FOR
         self.version = version
 
+    def _destination(self, server: Server) -> int | None:
+        known = self.roster.row(server.name)
+        return None if known is None else known.destination
+
+    def replace(self, roster: Roster, version: int) -> Roster:
+        """Take in a whole list, whose roster is this table's from now on; the one before is returned."""
+        self._before, self.roster, self.version = self.roster, roster, version
+        self._before_until = self._clock() + KNOWN_FOR
+        return self._before
+
+    def forget(self) -> None:
+        """Let go of what has been known for long enough. Its owner calls it now and then."""
+        now = self._clock()
+        if len(self._before) and now >= self._before_until:
+            self._before = Roster()
+        while self._emptied and next(iter(self._emptied.values())) <= now:
+            del self._emptied[next(iter(self._emptied))]
+
+    def row(self, name: str) -> Server | None:
+        return self.roster.row(name)
+
     def knows(self, destination: int) -> bool:
-        return destination in self._destinations
+        return (self.roster.knows(destination) or self._before.knows(destination)
+                or destination in self._emptied)
 
     def _route(self, row: Server) -> tuple:
         apart = row.kind < len(self._apart) and self._apart[row.kind]
         return (row.destination, row.name) if apart else (row.destination,)
 
-    def told_wait(self, name: str, until: float) -> tuple:
+    def told_wait(self, row: Server, until: float) -> tuple:
         """A server's answer asked for quiet until then; what that binds."""
-        route = self._route(self.rows[name])
+        route = self._route(row)
         self._waits[route] = max(until, self._waits.get(route, -inf))
+        if len(self._waits) > self._most_waits:
+            now = self._clock()
+            self._waits = {r: u for r, u in self._waits.items() if u > now}
+            self._most_waits = max(MOST_WAITS, 2 * len(self._waits))
         return route
 
     def closed(self, name: str, now: float) -> str | None:
         """Why nothing may be sent to this server just now, or None."""
-        row = self.rows[name]
+        row = self.roster.row(name)
+        if row is None:
+            return "is gone"
         if row.health != "ready":
             return f"is {row.health}"
         if self._waits.get(self._route(row), -inf) > now:
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -863,6 +863,100 @@
     assert done.returncode == 2 and named in done.stderr and done.stderr.count("\n") == 1
 
 
+def many(count, server):
+    return [{**server.row(), "host": f"m-{n}", "block": 1000 + n} for n in range(count)]
+
+
+def test_a_list_of_tens_of_thousands_is_served_and_its_changes_are_kept_to(start):
+    server = Backend("s1")
+    program = start([server], deploy={"dormancy": {"on": True}})
+    _, tell = program.discovery.watch()
+    tell(8, [server.row(), *many(30_000, server)], whole=True)
+    client, heard = program.client(), ""
+    for n in range(400):   # until the list is in
+        heard = client.enqueue(f"aa{n:03}", dest=30_999)
+        if not heard.startswith("-ERR unknown destination"):
+            break
+        settled(client)
+    assert heard == "+OK"
+    line, call = server.take()
+    assert call[1]["x-trace-id"].startswith("aa")
+    line.answer(200)
+    tell(9, [{**row, "health": "draining"} for row in many(30_000, server)[29_000:]])
+    tell(10, [{**server.row(), "host": "fresh", "block": 77}])
+    for n in range(400):
+        heard = client.enqueue(f"ab{n:03}", dest=77)
+        if not heard.startswith("-ERR unknown destination"):
+            break
+    assert heard == "+OK"
+    line, call = server.take()
+    assert call[1]["x-trace-id"].startswith("ab")
+    line.answer(200)
+    assert client.enqueue("ac01", dest=30_999, d=600).startswith(("+OK", "-BUSY"))
+    assert server.quiet(0.3)   # it drains: nothing new goes there
+
+
+def test_a_list_beyond_the_memory_is_refused_and_the_one_in_force_stays(start):
+    server = Backend("s1")
+    program = start([server], limits={"memory_mb": 32})
+    _, tell = program.discovery.watch()
+    tell(8, many(60_000, server), whole=True)
+    program.logged("a whole list was refused")
+    assert program.client().enqueue("aa01") == "+OK"
+    line, _ = server.take()
+    line.answer(200)
+    tell(9, [{**server.row(), "host": "fresh", "block": 77}])
+    client = program.client()
+    for n in range(400):
+        heard = client.enqueue(f"ab{n:03}", dest=77)
+        if not heard.startswith("-ERR unknown destination"):
+            break
+    assert heard == "+OK"
+
+
+def learned(start, tmp_path, name="learned"):
+    """A program that has learned of its destination, and has it on disk."""
+    server = Backend("s1")
+    program = start([server], deploy={"dormancy": {"on": True, "after_s": 0.5, "snapshot": True, "snapshot_s": 1}})
+    client = program.client()
+    assert client.enqueue("aa01") == "+OK"
+    line, _ = server.take()
+    line.answer(200, Endpoint_Load_Metrics="x0=0.9,x1=25")
+    until = time.monotonic() + 8
+    while not (program.state / name).exists():
+        assert time.monotonic() < until
+        settled(client)
+    return program, server
+
+
+def test_what_was_learned_outlasts_a_kill_also_one_in_the_middle_of_a_snapshot(start, tmp_path):
+    program, server = learned(start, tmp_path)
+    program.kill()
+    (program.state / "learned.new").write_bytes((program.state / "learned").read_bytes()[:40])
+    program.start()
+    program.logged("what was learned of 1 destinations is known again")
+    assert not (program.state / "learned.new").exists()
+    assert program.client().enqueue("aa02") == "+OK"
+    line, call = server.take()
+    line.answer(200)
+    assert call[1]["x-trace-id"] == "aa02"
+
+
+@pytest.mark.parametrize("damage, why", [
+    (lambda data: data[:-3], "torn"), (lambda data: b"another's file" + data, "no snapshot of ours"),
+    (lambda data: b"", "torn"), (lambda data: data * 40_000, "longer than snapshot_mb")])
+def test_a_snapshot_that_cannot_be_used_is_refused_in_one_line(start, tmp_path, damage, why):
+    program, server = learned(start, tmp_path)
+    program.kill()
+    path = program.state / "learned"
+    path.write_bytes(damage(path.read_bytes())[:500_000])
+    program.start()
+    program.logged("what was learned is not used")
+    assert sum("learned" in line for line in program.log) == 1 and why in "".join(program.log)
+    assert program.client().enqueue("aa02") == "+OK"
+    server.take()[0].answer(200)
+
+
 def test_a_few_commands_behind_one_another_are_each_answered_in_turn(start):
     server = Backend("s1")
     program = start([server])
