--- a/linkdock/state/pool.py
+++ b/linkdock/connections/pool.py
@@ -4,13 +4,18 @@
 
 import socket
 from asyncio import Future
+from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..protocol.streams import seen, silent
-from .wheel import Timer, Wheel
+from ..state.wheel import Timer, Wheel
+
+if TYPE_CHECKING:
+    from .choice import Choice
 
 BUFFER = 256 * 1024   # of one connection: an answer holds at most a body of 64 KiB and its head
+FRESH = -1.0          # the idle age of a connection that is new
 BEHIND = 0.01         # seconds after an answer in which more than belongs to it may still come
 
 
@@ -21,10 +26,11 @@
 class Connection:
     """One connection to a backend server, owned by the pool while idle and by one call while in use."""
 
-    __slots__ = ("server", "dial", "stream", "timer", "first", "rested_at")
+    __slots__ = ("server", "kind", "dial", "stream", "timer", "first", "rested_at", "idle_since", "age")
 
-    def __init__(self, server: str, dial: tuple[str, int], stream: IOStream) -> None:
-        self.server, self.dial, self.stream = server, dial, stream
+    def __init__(self, server: str, kind: int, dial: tuple[str, int], stream: IOStream) -> None:
+        self.server, self.kind, self.dial, self.stream = server, kind, dial, stream
+        self.idle_since, self.age = 0.0, FRESH   # and for how long it had been idle when it was taken
         self.timer: Timer | None = None
         self.first = None       # the read that waits for the next answer
         self.rested_at = 0.0    # on the wheel's clock: until then more may come behind the last answer
@@ -37,11 +43,21 @@
         self._wheel, self._idle_for, self._most = wheel, idle_for, most
         self._idle: dict[str, list[Connection]] = {}
         self._count = 0
+        self.choice: Choice | None = None   # what is learned of idle connections, where that is on
+
+    def take(self, server: str, dial: tuple[str, int], careful: bool = False) -> Connection | None:
+        """An idle connection that is alive, the freshest first, with its first read begun.
 
-    def take(self, server: str, dial: tuple[str, int]) -> Connection | None:
-        """An idle connection that is alive, the freshest first, with its first read begun."""
+        With a choice, None where even that is too likely dead for what is to be sent: `careful` if that may not be
+        repeated.
+        """
         while kept := self._idle.get(server):
             connection = kept[-1]
+            connection.age = self._wheel.now - connection.idle_since
+            if self.choice is not None and not self.choice.may_use(server, connection.kind, connection.age, careful):
+                if not careful:
+                    self.retire(server)   # the others are older still
+                return None
             self._remove(connection)
             # Danger: the other side closed it, or spoke out of turn. A request written now would be reset,
             # which an unsafe one does not survive, or get a stray answer.
@@ -50,7 +66,12 @@
             self.discard(connection)
         return None
 
-    def open(self, server: str, dial: tuple[str, int]) -> Connection:
+    def used(self, connection: Connection, alive: bool) -> None:
+        """The server has answered on it, or it broke before anything came."""
+        if self.choice is not None:
+            self.choice.used(self._wheel.now, connection.server, connection.kind, connection.age, alive)
+
+    def open(self, server: str, kind: int, dial: tuple[str, int]) -> Connection:
         """A new connection, not yet connected. The oldest idle one makes room when all are taken."""
         if self._count >= self._most:
             idle = [kept[0] for kept in self._idle.values()]
@@ -60,7 +81,7 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._count += 1
-        return Connection(server, dial, IOStream(sock, max_buffer_size=BUFFER))
+        return Connection(server, kind, dial, IOStream(sock, max_buffer_size=BUFFER))
 
     def give_back(self, connection: Connection) -> None:
         """The call is over and the connection can carry another, while it lies idle in silence."""
@@ -70,6 +91,7 @@
         except StreamClosedError:
             return self.discard(connection)
         connection.rested_at = self._wheel.now + BEHIND
+        connection.idle_since = self._wheel.now
         connection.timer = self._wheel.after(self._idle_for, lambda: self._drop_idle(connection))
         self._idle.setdefault(connection.server, []).append(connection)
         connection.first.add_done_callback(lambda read: self._spoke(connection, read))
--- a/linkdock/console/main.py
+++ b/linkdock/console/main.py
@@ -105,6 +105,25 @@
     say_json(report)
 
 
+@lab.command()
+@click.option("--seeds", type=int, help="How many schedules.")
+@click.option("--plan", "file", type=click.Path(path_type=Path, dir_okay=False), help="A file of figures as JSON.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def connections(seeds: int | None, file: Path | None, as_json: bool) -> None:
+    """Kept connections that were silently dropped: today's rule, the learned idle life, an oracle, none kept."""
+    try:
+        from ..lab import connections as experiment
+        from ..lab import results
+    except ImportError as bad:
+        raise click.UsageError(f"the laboratory needs the packages of requirements-lab.txt: {bad}") from None
+    try:
+        plan = results.read_plan(file, experiment.Plan, {} if seeds is None else {"seeds": seeds})
+    except ValueError as bad:
+        raise click.UsageError(str(bad)) from None
+    with results.progress(not as_json) as said:
+        say_json(experiment.run(plan, said))
+
+
 @lab.command()
 @click.option("--rounds", type=int, help="How often each way is measured, in turn.")
 @click.option("--against", help="Another tree of the program that is measured in turn, without records.")
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -12,9 +12,9 @@
 
 from tornado.iostream import StreamClosedError
 
+from ..connections.pool import BUFFER, Connection, ConnectionPool, PoolFull
 from ..facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, TURNED_AWAY, Item
 from ..facade import Dispatch as Order
-from ..state.pool import BUFFER, Connection, ConnectionPool, PoolFull
 from ..state.requests import Request
 from ..state.table import ServerTable
 from ..state.wheel import Wheel
@@ -48,6 +48,9 @@
         the record what came back.
         """
 
+    def repeatable(self, request: Request) -> bool:
+        """Whether it may be sent again though it may have run."""
+
     def delivered_late(self, request: str, due: float) -> None:
         """An item that had been given up was delivered all the same."""
 
@@ -92,6 +95,7 @@
         self.items = {item.request: item for item in order.items}   # without an outcome yet
         self._given_up: set[str] = set()
         self._began = backend.clock()
+        self._up = False     # whether the connection was up for it
         self._sent = False   # whether the last byte is written
         self._single = True    # whether one answer counts for one item
         self._spoilt = False   # whether the answer began and did not end in time
@@ -152,6 +156,8 @@
             if self._spoilt:   # else by the other side, or by giving up
                 log.warning("backend server %s: an answer without end", self.server)
                 how = ERROR
+            elif self._up and self.items and not self._parser.read:
+                self._b.pool.used(self._connection, False)   # given up by nobody here, and nothing came on it
         except http.BadAnswer as bad:
             log.warning("backend server %s: %s", self.server, bad)
             how = ERROR
@@ -168,18 +174,19 @@
                 self._end(request, NOT_SENT)
             return False
         b, dial = self._b, self._row.dial
-        self._connection = b.pool.take(self.server, dial)
+        careful = not all(b.desk.repeatable(request) for request in self._requests.values())
+        self._connection = b.pool.take(self.server, dial, careful)
         while self._connection is not None and (rest := self._connection.rested_at - b.wheel.now) > 0:
             # Danger: what still comes behind the last answer would pass for the answer to this call.
             await b.wheel.pause(rest)
             if not self._connection.first.done():
                 break
             b.pool.discard(self._connection)
-            self._connection = b.pool.take(self.server, dial)
+            self._connection = b.pool.take(self.server, dial, careful)
         if not self.items:
             return False
         if self._connection is None:
-            self._connection = b.pool.open(self.server, dial)
+            self._connection = b.pool.open(self.server, self._row.kind, dial)
             stream = self._connection.stream
             timer = b.wheel.after(b.connect_timeout, stream.close)
             try:
@@ -198,6 +205,7 @@
         if not self.items:
             return True
         fresh = self._connection.first is None
+        self._up = True
         await stream.write(self._encode())
         self._sent = True
         if b.observer is not None:
@@ -238,6 +246,8 @@
                     if not parts:
                         raise
                 else:
+                    if not parser.read:
+                        self._b.pool.used(connection, True)
                     parts = parser.feed(data)
                 for part in parts:
                     if isinstance(part, http.Head):
--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -20,7 +20,10 @@
 
 SILENCE = 2.8    # an empty line comes every 2 s; without any the watch is dead, whatever TCP thinks
 PAUSE = 0.2      # before it is opened again
-PIECE = 8 * 1024          # bytes that are read between two turns of the loop: some 65 rows, 2 ms
+# Bytes that are read between two turns of the loop: some 16 rows. Danger: the parts of an index fill evenly and so grow
+# nearly together; a row costs 20 µs mostly, and ten times that then.
+PIECE = 2 * 1024
+LOOK_EVERY = 500          # rows of a whole list between looks at its size
 MOST_CHANGES = 200        # rows of a change that are handed on at once
 MOST_UNTOLD = 20_000      # rows that are held while a line has not told whether it is whole
 MOST_PASSED = 20          # rows of one line that cannot be read and are named in the log
@@ -105,7 +108,7 @@
         self._roster = self._roster or Roster()
         for server in servers:
             self._roster.put(server)
-        if self._roster.size() > self._most:
+        if self._count % LOOK_EVERY < len(servers) and self._roster.size() > self._most:
             self._refuse(f"{len(self._roster)} rows are as many as limits.memory_mb gives room for "
                          f"({self._most / 1e6:.1f} MB)")
 
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -255,6 +255,9 @@
             self.observer.held_up(server, item, why)
         return False
 
+    def repeatable(self, request: Request) -> bool:
+        return self._config.repeatable(request.cls)
+
     def ended(self, server: str, item: Item, how: str, elapsed: float, wait: float = 0.0,
               load: tuple[float, float] | None = None, over: bool = False, owed: bool = False,
               due: float = inf, read: str = "") -> None:
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING
 
+from ..connections.pool import ConnectionPool
 from ..facade import Facade, Table
 from ..options import OptionError, switched_on
 from ..protocol.calls import Backend
@@ -17,12 +18,12 @@
 from ..protocol.notices import Notices
 from ..sender import Sender
 from ..state.journal import Journal
-from ..state.pool import ConnectionPool
 from ..state.table import ServerTable
 from ..state.wheel import Wheel
 from .config import Config, ConfigError, load, reload
 
 if TYPE_CHECKING:
+    from ..connections.choice import Choice
     from ..records.observer import Observer
     from ..state.snapshots import Dormancy
 
@@ -66,6 +67,7 @@
         self.sender = Sender(config, clock, self.spawn, facade, self._journal, table)
         idle_for = max(settings.idle_close - IDLE_MARGIN, settings.idle_close / 2)
         self._pool = ConnectionPool(self._wheel, idle_for, config.most_backends)
+        self._pool.choice = self._choice()
         self.sender.backend = Backend(self.sender, table, self._pool, self._wheel, clock,
                                       settings.connect_timeout, config.fields)
         self._notices = self.sender.notices = Notices(config.discovery, self._wheel, self._wheel.pause,
@@ -116,6 +118,19 @@
         except OptionError as bad:
             raise ConfigError(str(bad)) from None
 
+    def _choice(self) -> Choice | None:
+        """What is learned of idle connections, where `deploy/connections.json` switches it on."""
+        try:
+            text = switched_on("connections")
+            if text is None:
+                return None
+            from ..connections.choice import Choice, read
+            return Choice(read(text))
+        except ImportError as bad:
+            raise ConfigError(f"connections.json: needs the packages of requirements-console.txt: {bad}") from None
+        except OptionError as bad:
+            raise ConfigError(str(bad)) from None
+
     def _tidy(self) -> None:
         self._table.forget()
         self._wheel.after(TIDY_EVERY, self._tidy)
--- a/linkdock/state/roster.py
+++ b/linkdock/state/roster.py
@@ -19,10 +19,13 @@
 CELL = 16          # bytes for a name; a longer one is kept apart
 PARTS = 1024       # of an index
 LEAST_PART = 8     # places in one
+BITS = 10          # rows of one block of a column, as a power of two
+BLOCK = 1 << BITS
 HEALTH = ("ready", "draining", "gone")
 SEED = 0x9E3779B97F4A7C15   # spreads consecutive numbers over the parts
 _FREE, _LEFT = -1, -2
 _ADDRESS = struct.Struct("!I")
+_CELL = struct.Struct("<QQ")
 
 
 def _packed(address: str) -> int | None:
@@ -34,6 +37,29 @@
     return _ADDRESS.unpack(data)[0] if socket.inet_ntoa(data) == address else None
 
 
+class Column:
+    """One figure of every row, in blocks. Danger: a single large array is moved whole when it grows."""
+
+    __slots__ = ("_code", "_blocks", "_each")
+
+    def __init__(self, code: str) -> None:
+        self._code, self._blocks, self._each = code, [], array(code).itemsize
+
+    def __getitem__(self, row: int):
+        return self._blocks[row >> BITS][row & (BLOCK - 1)]
+
+    def __setitem__(self, row: int, value) -> None:
+        self._blocks[row >> BITS][row & (BLOCK - 1)] = value
+
+    def reach(self, row: int) -> None:
+        """Have a place for this row, which is at most one beyond the last block."""
+        if row >> BITS == len(self._blocks):
+            self._blocks.append(array(self._code, bytes(self._each * BLOCK)))
+
+    def size(self) -> int:
+        return len(self._blocks) * self._each * BLOCK
+
+
 class Index:
     """Finds rows by a hash of their key; `same` tells whether a row has the key that is looked for."""
 
@@ -101,11 +127,14 @@
     """Owner of the rows. The order of a destination's rows is that in which they were told first."""
 
     def __init__(self) -> None:
-        self._names, self._long = bytearray(), {}
-        self._ips, self._ports, self._texts = array("I"), array("H"), {}
-        self._destinations, self._next = array("q"), array("i")
-        self._health, self._kinds, self._zones = bytearray(), array("H"), array("H")
-        self._shares, self._born = array("f"), array("d")
+        self._names, self._long = (Column("Q"), Column("Q")), {}   # the two halves of a cell
+        self._ips, self._ports, self._texts = Column("I"), Column("H"), {}
+        self._destinations, self._next = Column("q"), Column("i")
+        self._health, self._kinds, self._zones = Column("B"), Column("H"), Column("H")
+        self._shares, self._born = Column("f"), Column("d")
+        self._columns = (*self._names, self._ips, self._ports, self._destinations, self._next, self._health,
+                         self._kinds, self._zones, self._shares, self._born)
+        self._rows = 0   # places so far, free ones included
         self._free: list[int] = []
         self._by_name = Index(lambda row: self._hash(self._name(row)), self._is_named)
         self._by_destination = Index(lambda row: self._spread(self._destinations[row]),
@@ -118,10 +147,7 @@
 
     def size(self) -> int:
         """Bytes that it takes, nearly."""
-        columns = (self._ips, self._ports, self._destinations, self._next, self._kinds, self._zones, self._shares,
-                   self._born)
-        return (len(self._names) + len(self._health) + sum(c.itemsize * len(c) for c in columns)
-                + self._by_name.size() + self._by_destination.size()
+        return (sum(column.size() for column in self._columns) + self._by_name.size() + self._by_destination.size()
                 + 200 * (len(self._long) + len(self._texts)) + 8 * len(self._free))
 
     # --- Keys.
@@ -134,11 +160,9 @@
     def _spread(destination: int) -> int:
         return (destination * SEED >> 16) & 0x7FFFFFFFFFFFFFFF
 
-    def _cell(self, row: int) -> bytes:
-        return bytes(self._names[row * CELL:(row + 1) * CELL])
-
     def _name(self, row: int) -> str:
-        return self._long.get(row) or self._cell(row).rstrip(b"\0").decode()
+        first, second = self._names
+        return self._long.get(row) or _CELL.pack(first[row], second[row]).rstrip(b"\0").decode()
 
     def _is_named(self, row: int, name: object) -> bool:
         return self._name(row) == name
@@ -163,17 +187,15 @@
         if self._free:
             row = self._free.pop()
         else:
-            row = len(self._health)
-            self._names += bytes(CELL)
-            self._health.append(0)
-            for column in (self._ips, self._ports, self._destinations, self._next, self._kinds, self._zones,
-                           self._shares, self._born):
-                column.append(0)
+            row = self._rows
+            self._rows += 1
+            for column in self._columns:
+                column.reach(row)
         name = server.name.encode()
         if len(name) > CELL or name.endswith(b"\0") or not name:
             self._long[row] = server.name
         else:
-            self._names[row * CELL:(row + 1) * CELL] = name.ljust(CELL, b"\0")
+            self._names[0][row], self._names[1][row] = _CELL.unpack(name.ljust(CELL, b"\0"))
         self._destinations[row], self._next[row] = server.destination, -1
         self._by_name.add(hashed, row)
         spread = self._spread(server.destination)
@@ -263,4 +285,4 @@
     def __iter__(self) -> Iterator[Server]:
         """All rows. Danger: of a long list this takes longer than a tick."""
         gone = HEALTH.index("gone")
-        return (self._server(row) for row, health in enumerate(self._health) if health != gone)
+        return (self._server(row) for row in range(self._rows) if self._health[row] != gone)
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 
 from linkdock.console.main import cli
-from linkdock.lab import idle, results
+from linkdock.lab import connections, idle, results
 from linkdock.lab.members import FULL, OK, RESET, SILENT, UNREACHABLE, Member, Rules
 
 RULES = Rules(fall_multiple=1.5, fall_time=2.0, cold_time=10.0, cold_share=0.4)
@@ -107,6 +107,24 @@
     assert 5 < run["memory mb"] < 100 and run["longest hold"].endswith("ms")
 
 
+def test_the_learned_idle_life_meets_far_fewer_dead_connections_and_the_oracle_none():
+    report = connections.run(connections.Plan(seeds=3, seconds=60.0))
+    assert report["oracle"]["stale"] == 0 and report["one a call"]["opened"] == report["one a call"]["calls"]
+    assert report["learned"]["stale"] < 0.35 * report["today"]["stale"]
+    assert report["learned"]["opened"] < 0.8 * report["one a call"]["opened"]
+    again = connections.run(connections.Plan(seeds=3, seconds=60.0))
+    assert again == report
+
+
+@pytest.mark.parametrize("text, named", [
+    ('{"lives": [0.01]}', "lives must be above"), ('{"servers": 0}', "$.servers"), ('{"lives": []}', "$.lives")])
+def test_a_broken_plan_of_connections_is_named(tmp_path, text, named):
+    file = tmp_path / "plan.json"
+    file.write_text(text)
+    done = CliRunner().invoke(cli, ["lab", "connections", "--plan", str(file)])
+    assert done.exit_code == 2 and named in done.output
+
+
 @pytest.mark.parametrize("text, named", [
     ('{"destinations": 5}', "$.destinations"), ('{"wake": "all"}', "$.wake"), ('{"members": 5}', "members"),
     ('{"destinations": 300, "wake": 301}', "wake must be at most destinations"), ("{", "no JSON"), ("[1]", "object"),
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -8,6 +8,7 @@
 import struct
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -990,3 +991,49 @@
     settled(program.client())
     program.kill()
     assert len(owed(program)) <= 1   # what was answered before the reset came
+
+
+def one_call_each(server):
+    """Answer the first call on each connection and reset the second, as behind a front that drops what it keeps."""
+    served, reset = [], []
+
+    def serve(line):
+        if (call := line.call()) is None:
+            return
+        served.append(call[1]["x-trace-id"])
+        line.answer(200)
+        if (call := line.call()) is not None:
+            reset.append(call[1]["x-trace-id"])
+            line.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            line.close()
+
+    def accept():
+        while True:
+            try:
+                line = server.line()
+            except OSError:   # the end of the story
+                return
+            threading.Thread(target=serve, args=(line,), daemon=True).start()
+    threading.Thread(target=accept, daemon=True).start()
+    return served, reset
+
+
+@pytest.mark.parametrize("on", [True, False])
+def test_orders_leave_kept_connections_where_those_were_found_dead(start, on):
+    server = Backend("s1")
+    served, reset = one_call_each(server)
+    program = start([server], deploy={"connections": {"on": on}})
+    client = program.client()
+
+    def done(name, cls):
+        assert client.enqueue(name, cls) == "+OK"
+        until = time.monotonic() + 8
+        while name not in served and name not in reset[-1:]:
+            assert time.monotonic() < until
+            settled(client)
+    for n in range(8):   # previews go again; by them it is learned
+        done(f"aa{n:02}", "preview")
+    for n in range(5):
+        done(f"bb{n:02}", "order")
+    assert any(name.startswith("bb") for name in reset) is not on
+    assert program.discovery.notices.empty() or not on
