--- a/linkdock/connections/lifetimes.py
+++ b/linkdock/connections/lifetimes.py
@@ -1,8 +1,8 @@
 """How likely a kept connection is dead by its idle age, learned from real calls alone. No I/O, no clock.
 
 A server, or something on the way, may drop idle connections sooner than it said, and say nothing: that shows at the
-next call alone, which is reset. So an observation is the age at which a connection was used and whether it was alive: of
-each death only "before that age" is known (current status data), and its maximum likelihood estimate is the
+next call alone, which is reset. So an observation is the age at which a connection was used and whether it was
+alive: of each death only "before that age" is known (current status data), and its maximum likelihood estimate is the
 isotonic regression of the share of the dead over age, by pooling adjacent violators.
 
 Danger: resets that have nothing to do with idleness. New connections are reset as well then, and opening one in
