Give a measurement's parts back in one place, and record nothing that follows from the rest

Found on rereading: two experiments of the laboratory ended in the same five lines, now rig.strike; an outcome's `cut` in the records followed from its `how`. 72 tests of laboratory, records and command pass.

--- a/linkdock/lab/idle.py
+++ b/linkdock/lab/idle.py
@@ -260,11 +260,7 @@
                 "p50 ms": way.get_value_at_percentile(50) / 1000, "p99 ms": way.get_value_at_percentile(99) / 1000,
                 "longest hold": hold[-1].rsplit("hold of the loop: ", 1)[-1] if hold else "?"}
     finally:
-        if sender.process.returncode is None:
-            sender.process.kill()
-        agent.close()
-        stand_ins.close()
-        sender.close()
+        rig.strike(sender, agent, stand_ins)
 
 
 def _middle(values: list[float]) -> dict:
--- a/linkdock/lab/records.py
+++ b/linkdock/lab/records.py
@@ -68,11 +68,7 @@
         return {"a second": taken[0] / took, "cpu us": 1e6 * used / max(1, taken[0]),
                 "record bytes": records / max(1, taken[0])}
     finally:
-        if sender.process.returncode is None:
-            sender.process.kill()
-        agent.close()
-        stand_ins.close()
-        sender.close()
+        rig.strike(sender, agent, stand_ins)
 
 
 def run(plan: Plan, said=lambda text: None) -> dict:
--- a/linkdock/lab/rig.py
+++ b/linkdock/lab/rig.py
@@ -253,3 +253,12 @@
 
     def close(self) -> None:
         self._folder.cleanup()
+
+
+def strike(sender: Sender, *peers: Agent | Members) -> None:
+    """The end of a measurement, whatever happened in it: the one place where all of it is given back."""
+    if sender.process.returncode is None:
+        sender.process.kill()
+    for peer in peers:
+        peer.close()
+    sender.close()
--- a/linkdock/records/observer.py
+++ b/linkdock/records/observer.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 from itertools import islice
 
-from ..facade import CANCELLED, DELIVERED, NEVER_RAN, Item, Server
+from ..facade import DELIVERED, NEVER_RAN, Item, Server
 from ..state.journal import Kept
 from ..state.requests import Busy, Request, Taken
 from . import events as e
@@ -94,8 +94,7 @@
         """`read` is what came back, in a few words; `ran` is what that proves."""
         ran = e.YES if how == DELIVERED else e.NEVER if how in NEVER_RAN else e.MAYBE
         self._note(e.OUTCOME, id=item.request, attempt=item.attempt, server=server, how=how, ran=ran,
-                   elapsed=round(elapsed, 4), wait=wait, over=over, read=read,
-                   cut=how == CANCELLED)
+                   elapsed=round(elapsed, 4), wait=wait, over=over, read=read)
 
     def delivered_late(self, request: str) -> None:
         self._note(e.LATE, id=request)
