--- a/linkdock/decide.py
+++ b/linkdock/decide.py
@@ -236,6 +236,8 @@
             link = self.links[entry.host] = Link(entry, route, self.lots.random())
             dest.links.append(link)
         link.entry, link.ready = entry, entry.state is i.HostState.READY
+        if entry.out_since is not None and link.ready and link.down_at is None:
+            self.suspect(link, entry.out_since)
         if entry.state is i.HostState.GONE:
             self.gone.append((self.now + FORGET, link))
 
--- a/linkdock/dormancy/sleeper.py
+++ b/linkdock/dormancy/sleeper.py
@@ -13,9 +13,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
+from ..facade import Server
 from ..interface import HostEntry, HostState
 from ..state.roster import Roster
 from .memory import LEAST_TRUST, Facts, LinkFacts, Store, mark
@@ -28,15 +29,16 @@
 class Sleeper:
     """What `decide.Relay` asks for (interface.Sleeper). `roster` gives the list in force."""
 
-    def __init__(self, roster: Callable[[], Roster], classes: int, after: float, most: int) -> None:
-        self.after, self._roster = after, roster
+    def __init__(self, roster: Callable[[], Roster], classes: int, after: float, most: int,
+                 shown: Callable[[Iterable[Server]], Iterable[Server]] = lambda rows: rows) -> None:
+        self.after, self._roster, self._shown = after, roster, shown
         self.store = Store(classes, most)
 
     # --- The list.
 
     def rows(self, destination: int) -> list[HostEntry]:
         return [HostEntry(s.name, s.destination, STATES[s.health], s.kind, s.zone, s.share, s.born)
-                for s in self._roster().of(destination)]
+                for s in self._shown(self._roster().of(destination))]
 
     def partners(self, kind: int) -> int:
         return self._roster().partners(kind)
--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -39,6 +39,7 @@
     zone: int = 0
     share: float = 1.0
     born: float = 0.0
+    out_since: float | None = None   # it comes back cold from being out since then, on the loop's clock
 
 
 # --- Facts, for `report`.
@@ -167,7 +168,7 @@
                     awake = self._relay.dests
                     servers = [s for s in servers if s.destination in awake] if how == "changes" else []
                 entries = [
-                    i.HostEntry(s.name, s.destination, _STATES[s.health], s.kind, s.zone, s.share, s.born)
+                    i.HostEntry(s.name, s.destination, _STATES[s.health], s.kind, s.zone, s.share, s.born, s.out_since)
                     for s in servers]
                 if self._sleeper is not None and how != "changes":
                     entries = [row for number in awake for row in self._sleeper.rows(number)]
@@ -258,6 +259,10 @@
         """The destinations with work or lately so, for who keeps what was learned of them."""
         return list(self._relay.dests.items())
 
+    def stopped(self) -> list[str]:
+        """The servers that the decisions avoid by choice."""
+        return [link.host for link in self._relay.down]
+
     def advice(self, destination: int) -> float:
         """How many seconds a client that is denied at the door should stay away."""
         dest = self._relay.dests.get(destination)
--- a/linkdock/interface.py
+++ b/linkdock/interface.py
@@ -137,6 +137,7 @@
     zone: int = 0
     weight: float = 1.0
     up_since: float = 0.0
+    out_since: float | None = None   # known to have been out since then: it is met as from an outage
 
 
 @dataclass(slots=True)
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from ..connections.kept import Asked, KeptPool
     from ..records.observer import Observer
+    from ..state.figures import Figures
 
 log = logging.getLogger(__name__)
 
@@ -66,6 +67,7 @@
         self.connect_timeout, self.fields = connect_timeout, fields
         self.kept: KeptPool | None = None       # the pool, where the keeper is on
         self.observer: Observer | None = None   # of the records, where they are on
+        self.figures: Figures | None = None     # where there are operators
 
     def load(self, headers: dict[str, str]) -> tuple[float, float] | None:
         """The load report of an answer, if it carries one that can be read."""
@@ -202,9 +204,11 @@
         if not self.items:
             return True
         fresh = self._connection.first is None or b.kept is not None and self._connection.age < 0
-        self._up, self._written_at = True, b.clock()
+        self._up, self._written_at, count = True, b.clock(), len(self.items)
         await stream.write(self._encode())
         self._sent = True
+        if b.figures is not None:
+            b.figures.relayed += count
         if b.observer is not None:
             b.observer.written(self.server, self.items, fresh)
         return await self._answer()
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from ..admission.gate import Gate
     from ..records.observer import Observer
+    from ..state.duty import Duty
 
 log = logging.getLogger(__name__)
 
@@ -80,6 +81,7 @@
         self._streams: dict[Place, IOStream] = {}          # both ways
         self._closing = False
         self.observer: Observer | None = None              # of the records, where they are on
+        self.duty: Duty | None = None                      # whether clients are taken, where there are operators
         sockets = bind_sockets(listen[1], listen[0], family=socket.AF_INET, backlog=512)
         self.port = sockets[0].getsockname()[1]
         self._listener = Listener(sockets, wheel, self._accepted)
@@ -178,7 +180,7 @@
                 try:
                     words = parser.next()
                     if words is None:
-                        if self._closing and not parser.partial:
+                        if self._sent_away(place, parser):
                             why = "stopping"
                             return
                         data = await self._more(stream, place, parser, due)
@@ -210,6 +212,15 @@
         finally:
             self._drop(stream, why)
 
+    def _sent_away(self, place: Place, parser: resp.CommandParser) -> bool:
+        """Whether a connection between commands is to be closed now, because this process takes no more clients.
+
+        Danger: one whose first command is on its way, or on which the next has just come. They are answered first.
+        """
+        if not self._closing and (self.duty is None or self.duty.taking):
+            return False
+        return place.commands > 0 and not parser.partial and self._silent(place)
+
     def _put(self, place: Place, state: int) -> None:
         if place in self._streams:
             self._door.put(place, state, self._wheel.now)
@@ -276,7 +287,8 @@
             await self._written(stream, await self._enqueue(stream, place, parser, words))
             return True
         if name == b"PING":
-            reply = resp.simple("PONG")
+            why = None if self.duty is None else self.duty.sends_away()
+            reply = resp.simple("PONG") if why is None else resp.error(f"ERR {why}")
         elif name == b"QUIT":
             reply = resp.simple("OK")
         else:
@@ -355,6 +367,10 @@
         """Close the listening socket and every connection between requests; the others after their answer."""
         self._closing = True
         self._listener.close()
+        self.empty()
+
+    def empty(self) -> None:
+        """Close the connections between requests."""
         for place in list(self._door.idle()):
             self._close_idle(self._streams[place], "stopping")
 
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -35,6 +35,8 @@
 
 if TYPE_CHECKING:
     from .records.observer import Observer
+    from .state.duty import Duty
+    from .state.figures import Figures
     from .state.undeliverable import Undeliverable
     from .undeliverable.facts import Message
 
@@ -42,6 +44,7 @@
 
 CLOSE = 0.25   # seconds before its deadline in which a delivery may have come too late for the platform
 REMEMBERED, MOST_REMEMBERED = 5.0, 4096   # seconds for which ended requests are remembered, and how many
+ENDS = {"delivered": "fulfilled", "deferred": "throttled"}   # how the operators' figures call an end; else faulted
 
 
 class Sender:
@@ -56,9 +59,12 @@
         self._calls: dict[tuple[str, int], Call] = {}
         self._over: dict[str, float] = {}          # ended lately: until when that is remembered
         self._unsafe_until: float | None = None    # set while stopping
+        self._left = 0                             # requests left for the next life
         self.observer: Observer | None = None      # of the records, where they are on
         self.spread: Callable[[float], float] | None = None   # of times to come back, where the gate is on
         self.undeliverable: Undeliverable | None = None   # the store, where it is on
+        self.figures: Figures | None = None        # where there are operators,
+        self.duty: Duty | None = None              # and whether clients are taken
         self.backend: Backend
         self.notices: Notices
 
@@ -91,10 +97,15 @@
             self._say(request, Taken(known=True))
             return
         request.cls, request.until = self._config.classes[cls], self._clock() + left
+        key = self._order_key(request)
+        if self.figures is not None:
+            self.figures.came += 1
+        if self.duty is not None and self.duty.denies(self._clock()):
+            self._say(request, Busy(self.duty.again))
+            return
         if self._requests.full():
             self._say(request, self._no_room(destination))
             return
-        key = self._order_key(request)
         self._requests.add(request)
         self._asking[request.id] = request
         self._facade.report(Take(request.id, request.cls, destination, left, key, again, held))
@@ -122,14 +133,25 @@
         if self.observer is not None and servers:
             self.observer.table(self._table.version, False, len(servers), servers)
         if servers:
-            self._facade.report(Table("changes", servers, self._table.version))
+            self._facade.report(Table("changes", self._table.shown(servers), self._table.version))
 
     def whole(self, roster: Roster, version: int) -> None:
         """Discovery has told its whole list: what that leaves out is gone."""
         self._table.replace(roster, version)
         if self.observer is not None:
             self.observer.table(version, True, len(roster), roster)
-        self._facade.report(Table("whole", roster, version))
+        self._facade.report(Table("whole", self._table.shown(roster), version))
+
+    def by_hand(self, name: str, out_since: float | None = None) -> None:
+        """A server was taken out by hand, or put back after having been out since then.
+
+        It was restarted meanwhile: its connections are dead, and it comes back cold.
+        """
+        self.backend.pool.retire(name)
+        row = self._table.row(name)
+        if row is not None:
+            self._facade.report(Table("changes", self._table.shown([row._replace(out_since=out_since)]),
+                                      self._table.version))
 
     def restore(self) -> None:
         """Take up what an earlier life of this sender took on."""
@@ -157,12 +179,17 @@
                     self._over_again(kept.id, False)
                     continue
                 self._owe_notice(kept.id, {"id": kept.id, "status": "undeliverable"}, False)
+                if self.figures is not None:
+                    self.figures.came += 1
+                    self.figures.over(cls, "faulted")
                 if self.observer is not None:
                     self.observer.over(kept.id, "undeliverable", kept.until - unix)
                 continue
             left = max(0.0, kept.until - unix)
             request = Request(kept.id, kept.key, cls, kept.destination, now + left, kept.body)
             self._requests.add(request)
+            if self.figures is not None:
+                self.figures.came += 1
             self._facade.report(Take(kept.id, cls, kept.destination, left, self._order_key(request),
                                      held=True, used=kept.used))
 
@@ -204,6 +231,8 @@
         """Tell a client its one answer; whether it was still there."""
         answer, request.answer = request.answer, None
         heard = answer(said)
+        if self.figures is not None and not isinstance(said, Taken):
+            self.figures.over(request.cls, "throttled" if isinstance(said, Busy) else "faulted")
         if self.observer is not None:
             again = isinstance(said, Taken) and said.known
             until = time.time() + request.until - self._clock()
@@ -225,6 +254,8 @@
             self._say(request, self._no_room(request.destination))
         elif not self._say(request, Taken()):
             # Its client left unanswered and may hand it in again: nothing is owed, and nothing may be sent.
+            if self.figures is not None:
+                self.figures.over(request.cls, "throttled")
             self._journal.end(request.id)
             self._requests.remove(request.id)
             self._facade.report(Withdraw(request.id))
@@ -257,6 +288,7 @@
         if self._unsafe_until is None or now < self._unsafe_until or self._config.repeatable(request.cls):
             return False
         self._requests.remove(request.id)
+        self._left += 1
         self._facade.report(Withdraw(request.id))
         return True
 
@@ -325,6 +357,8 @@
         while self._over and (len(self._over) >= MOST_REMEMBERED or next(iter(self._over.values())) <= now):
             del self._over[next(iter(self._over))]
         self._over[request] = now + REMEMBERED
+        if self.figures is not None:
+            self.figures.over(known.cls, ENDS.get(how, "faulted"))
         if self.undeliverable is not None and request in self.undeliverable.again:
             self._over_again(request, how == "delivered")
         elif notice is None:
@@ -362,6 +396,8 @@
             return False
         self._journal.hold(message.id)
         self._requests.add(request)
+        if self.figures is not None:
+            self.figures.came += 1
         self._facade.report(Take(message.id, cls, message.destination, left, key, held=True))
         return True
 
@@ -387,6 +423,10 @@
 
     # --- Stopping.
 
+    def open(self) -> int:
+        """Messages that were taken on and have not ended, those left for the next life among them."""
+        return len(self._requests) - len(self._asking) + self._left
+
     def stop_unsafe(self, at: float) -> None:
         """From then on start nothing that may not be repeated."""
         self._unsafe_until = at
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -14,6 +14,7 @@
 log = logging.getLogger(__name__)
 
 _MISSING = object()
+OPERATORS = 32   # descriptors that neither clients nor calls can take from the operators' address
 EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
 
 
@@ -39,6 +40,7 @@
     zones: list[str]
     kinds: list[str]
     fields: list[str]
+    admin: tuple[str, int] | None = None   # the operators' address
 
     @property
     def classes(self) -> dict[str, int]:
@@ -59,7 +61,8 @@
         At 32 KB each, the others take a quarter of the memory at most.
         """
         usual = self.usual_clients
-        return usual + max(4, min(usual - 16, int(self.memory_mb * 1e6 / 4) // 32_000))
+        kept = 16 if self.admin is None else 16 + OPERATORS   # for the process itself
+        return usual + max(4, min(usual - kept, int(self.memory_mb * 1e6 / 4) // 32_000))
 
     @property
     def most_held(self) -> int:
@@ -88,6 +91,9 @@
     def name(self, key: str) -> str:
         return f"{self._path}.{key}" if self._path else key
 
+    def has(self, key: str) -> bool:
+        return self._told.get(key) is not None
+
     def get(self, key: str, kind: type, default: object = _MISSING):
         value = self._told.get(key, default)
         if value is _MISSING:
@@ -151,6 +157,8 @@
             variable = f"RELAY_{key.upper()}"
             if variable in environ:
                 told.setdefault(key, environ[variable])
+        if "RELAY_ADMIN_ADDR" in environ:
+            told.setdefault("admin_addr", environ["RELAY_ADMIN_ADDR"])
     return check(told, Path(environ["RELAY_STATE"]))
 
 
@@ -187,7 +195,8 @@
         known=top.get("known", dict, {}), settings=_settings(settings),
         class_names=[c.get("name", str) for c in settings.parts("grades")],
         zones=settings.get("zones", list, []), kinds=settings.get("machine-types", list, []),
-        fields=settings.part("report", {}).get("fields", list, []))
+        fields=settings.part("report", {}).get("fields", list, []),
+        admin=top.address("admin_addr") if top.has("admin_addr") else None)
 
 
 def _settings(told: _Reader) -> Settings:
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -29,6 +29,7 @@
     from ..state.clients import Clients
     from ..state.snapshots import Dormancy
     from ..state.undeliverable import Undeliverable
+    from .operations import Operations
 
 log = logging.getLogger(__name__)
 T = TypeVar("T")
@@ -61,13 +62,14 @@
         table = self._table = ServerTable((kind.apart for kind in settings.kinds), clock)
         self._dormancy = self._sleep(config, table, clock)
         facade = Facade(settings, config.seed, None if self._dormancy is None else self._dormancy.sleeper)
+        self._operations = self._operators(config, facade, table)
         if config.known:
             try:
                 _, servers, version = read_news(config.known, config.zones, config.kinds)
             except ValueError as bad:
                 raise ConfigError(f"known: {bad}") from None
             table.update(servers, version)
-            facade.report(Table("kept", servers, version))
+            facade.report(Table("kept", table.shown(servers), version))
         self.sender = Sender(config, clock, self.spawn, facade, self._journal, table)
         idle_for = max(settings.idle_close - IDLE_MARGIN, settings.idle_close / 2)
         kept = self._kept(config, table, idle_for)
@@ -83,6 +85,8 @@
         for part in (self.sender, self.sender.backend, self._notices):
             part.observer = self._observer
         self._undeliverable = self.sender.undeliverable = self._store(config)
+        if self._operations is not None:
+            self._operations.count(self.sender)
         self.sender.restore()
         if self._undeliverable is not None:
             self._undeliverable.start(self.sender.resend)
@@ -98,6 +102,11 @@
                                      config.usual_clients, config.most_held, gate)
         except OSError as bad:
             raise ConfigError(f"listen: {bad}") from None
+        if self._operations is not None:
+            try:
+                self._operations.open(self.frontend, self._wheel, self.spawn)
+            except OSError as bad:
+                raise ConfigError(f"admin_addr: {bad}") from None
         self._due = self._loop.time()   # what came before was the start
         self.frontend.observer = self._observer
         if self._clients is not None:
@@ -107,6 +116,13 @@
             self._observer.ready(self.frontend.port)
         self._beat()
 
+    def _operators(self, config: Config, facade: Facade, table: ServerTable) -> Operations | None:
+        """What stands behind the operators' address, where the platform gives one."""
+        if config.admin is None:
+            return None
+        from .operations import Operations
+        return Operations(config, self._loop.time, facade, table)
+
     def _records(self, config: Config) -> Observer | None:
         """The observer of the records, where `deploy/records.json` switches them on."""
         try:
@@ -168,6 +184,8 @@
 
     def _tidy(self) -> None:
         self._table.forget()
+        if self._operations is not None:
+            self._operations.tidy()
         self._wheel.after(TIDY_EVERY, self._tidy)
 
     def spawn(self, work: Coroutine) -> None:
@@ -199,6 +217,8 @@
     def reload(self) -> None:
         """SIGHUP: go on with what the configuration's file says now; also while stopping."""
         old, self._config = self._config, reload(self._config)
+        if self._operations is not None:
+            self._operations.reloaded(self._config is not old)
         if self._config.discovery != old.discovery:
             self._watch.move(self._config.discovery)
             self._notices.move(self._config.discovery)
@@ -211,6 +231,8 @@
             return
         self._stopping = True
         log.info("stopping")
+        if self._operations is not None:
+            self._operations.duty.stop()
         if self._observer is not None:
             self._observer.stopping()
         self.sender.stop_unsafe(self._loop.time() + NO_UNSAFE_AFTER)
@@ -237,6 +259,8 @@
         signal.signal(signal.SIGHUP, signal.SIG_IGN)   # by default it would end the process
         log.info("the longest hold of the loop: %.1f ms", 1000 * self._hold)
         self.frontend.close()
+        if self._operations is not None:
+            self._operations.close()
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
--- a/linkdock/state/snapshots.py
+++ b/linkdock/state/snapshots.py
@@ -35,7 +35,8 @@
     def __init__(self, text: bytes, config: Config, table: ServerTable, clock: Callable[[], float]) -> None:
         self.settings = shape.read(text, int(config.disk_mb * 1e6))
         self._clock, names = clock, config.class_names
-        self.sleeper = Sleeper(lambda: table.roster, len(names), self.settings.after_s, self.settings.most_kept)
+        self.sleeper = Sleeper(lambda: table.roster, len(names), self.settings.after_s, self.settings.most_kept,
+                               table.shown)
         self._mark, self._classes = snapshot.classes_mark(names), len(names)
         self._path, self._next = config.state / "learned", config.state / "learned.new"
         self._failing = False
--- a/linkdock/state/table.py
+++ b/linkdock/state/table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 from math import inf
 
 from ..facade import Server
@@ -25,6 +25,7 @@
         self._most_waits = MOST_WAITS
         self._emptied: dict[int, float] = {}   # destinations without a row: until when they are known
         self._before_until = -inf
+        self.out: Container[str] = ()          # by hand, where there are operators
 
     def update(self, servers: Iterable[Server], version: int) -> None:
         """Take in changes."""
@@ -59,6 +60,12 @@
     def row(self, name: str) -> Server | None:
         return self.roster.row(name)
 
+    def shown(self, servers: Iterable[Server]) -> Iterable[Server]:
+        """Rows as the decisions are to see them: what is out by hand drains, whatever is listed."""
+        if not self.out:
+            return servers
+        return (s._replace(health="draining") if s.health == "ready" and s.name in self.out else s for s in servers)
+
     def knows(self, destination: int) -> bool:
         return (self.roster.knows(destination) or self._before.knows(destination)
                 or destination in self._emptied)
@@ -84,6 +91,8 @@
             return "is gone"
         if row.health != "ready":
             return f"is {row.health}"
+        if name in self.out:
+            return "is out by hand"
         if self._waits.get(self._route(row), -inf) > now:
             return "asked to wait"
         return None
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -167,7 +167,7 @@
 class Program:
     """The real program as its own process, with a folder that lasts."""
 
-    def __init__(self, folder, backends, discovery=None, limits=None, deploy=None, **more):
+    def __init__(self, folder, backends, discovery=None, limits=None, deploy=None, admin=None, **more):
         self.discovery = discovery or Discovery()
         self.deploy = folder / "deploy"   # what is switched on: a file's name and its settings
         self.deploy.mkdir(exist_ok=True)
@@ -179,6 +179,8 @@
                   "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3, **(limits or {})},
                   "known": {"seq": 7, "whole": True, "hosts": [b.row() for b in backends]},
                   "settings": settings(**more)}
+        if admin is not None:
+            config["admin_addr"] = admin
         self.config = folder / "config.json"
         self.config.write_text(json.dumps(config))
         self.start()
@@ -202,6 +204,8 @@
         found = re.search(r"listens on \S+:(\d+)", "".join(self.log))
         assert found, self.log
         self.port = int(found[1])
+        if found := re.search(r"operators are answered on \S+:(\d+)", "".join(self.log)):
+            self.admin_port = int(found[1])
 
     def client(self):
         return Client(self.port)
