--- a/linkdock/decide.py
+++ b/linkdock/decide.py
@@ -721,7 +721,7 @@
         route.pause = min(route.pause * RETRY_GROW, self.s.tip_after)
 
     def say(self, link: Link, state: str, why: str) -> None:
-        self.acts.append(i.Log(f"route {link.entry.destination}/{link.host}: {state}: {why}"))
+        self.acts.append(i.Log(f"route {link.entry.destination}/{link.host}: {state}: {why}", link.host, state))
 
     # --- Dispatch.
 
--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -8,7 +8,7 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from math import inf
 from typing import NamedTuple
 
@@ -128,9 +128,11 @@
 
 
 class Remark(NamedTuple):
-    """A line for staff."""
+    """A line for staff; of a server, what it is held to be from now on: suspect, returning or healthy."""
 
     text: str
+    server: str = ""
+    state: str = ""
 
 
 @dataclass(slots=True)
@@ -230,8 +232,8 @@
                     self._bell = at, token
                 case i.CloseIdle(host):
                     self._orders.append(Retire(host))
-                case i.Log(text):
-                    self._orders.append(Remark(text))
+                case i.Log(text, host, state):
+                    self._orders.append(Remark(text, host or "", state))
 
     def _dispatch(self, known: _Known, server: str, limit: float, open_calls: dict[str, Dispatch]) -> None:
         """Requests of one tick for one server travel together, as many as its kind takes."""
@@ -259,6 +261,11 @@
         """The destinations with work or lately so, for who keeps what was learned of them."""
         return list(self._relay.dests.items())
 
+    def hold_slots(self, slots: int) -> None:
+        """So many calls out at most from the next tick on; one in any case."""
+        if self._relay.s.slots != max(1, slots):
+            self._relay.s = replace(self._settings, slots=max(1, slots))
+
     def stopped(self) -> list[str]:
         """The servers that the decisions avoid by choice."""
         return [link.host for link in self._relay.down]
--- a/linkdock/interface.py
+++ b/linkdock/interface.py
@@ -305,9 +305,11 @@
 
 @dataclass(slots=True)
 class Log:
-    """A line for on-call staff."""
+    """A line for on-call staff; of a host, what it is held to be from now on."""
 
     text: str
+    host: Host | None = None
+    state: str = ""
 
 
 @dataclass(slots=True)
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -197,8 +197,11 @@
             # Danger: while the connection came up a wait, a drain or an end may have been told. And a batch
             # of large bodies would be too long as a whole: what does not fit goes in a call of its own.
             room = len(self._requests[request].body) * 4 // 3 + ROOM_OF_ONE
-            if size and size + room > MOST_BODY or not b.desk.may_go(self.server, item):
+            if size and size + room > MOST_BODY:
                 self._end(request, NOT_SENT)
+            elif not b.desk.may_go(self.server, item):
+                # With what is left of a wait, which another process of this sender may have been told.
+                self._end(request, NOT_SENT, wait=b.table.waits(self.server, b.clock()))
             else:
                 size += room
         if not self.items:
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -13,7 +13,6 @@
 from typing import TYPE_CHECKING, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import bind_sockets
 
 from ..state.requests import Busy, Failed, Refused, Request, Taken
 from ..state.wheel import Wheel
@@ -72,7 +71,7 @@
     turns is bounded: the usual clients, which send one whole command and wait for its answer, come first.
     """
 
-    def __init__(self, desk: Desk, listen: tuple[str, int], wheel: Wheel, spawn: Callable, most: int,
+    def __init__(self, desk: Desk, sockets: list[socket.socket], wheel: Wheel, spawn: Callable, most: int,
                  usual: int, most_held: int, gate: Gate | None = None) -> None:
         self._desk, self._wheel, self._spawn, self._most_held = desk, wheel, spawn, most_held
         self._door, self._gate = Door(most, usual), gate   # the gate where `deploy/admission.json` is on
@@ -82,7 +81,6 @@
         self._closing = False
         self.observer: Observer | None = None              # of the records, where they are on
         self.duty: Duty | None = None                      # whether clients are taken, where there are operators
-        sockets = bind_sockets(listen[1], listen[0], family=socket.AF_INET, backlog=512)
         self.port = sockets[0].getsockname()[1]
         self._listener = Listener(sockets, wheel, self._accepted)
 
@@ -110,6 +108,10 @@
             self.observer.joined(place.number, f"{address[0]}:{address[1]}", len(self._door))
         self._spawn(self._serve(stream, place))
 
+    def beginning(self) -> bool:
+        """Whether a connection is in the middle of a command, or its first may be on its way."""
+        return any(place.state != IDLE for place in self._places.values())
+
     def __len__(self) -> int:
         """Connections of clients."""
         return len(self._door)
--- a/linkdock/protocol/listening.py
+++ b/linkdock/protocol/listening.py
@@ -13,6 +13,7 @@
 import logging
 import os
 import socket
+import stat
 from collections.abc import Callable
 
 from ..state.wheel import Wheel
@@ -26,6 +27,22 @@
 NO_ROOM = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
+def inherited(number: int) -> socket.socket:
+    """The listening socket that this process was started with, to be shared with others. Raises OSError."""
+    if not stat.S_ISSOCK(os.fstat(number).st_mode):
+        raise OSError(errno.ENOTSOCK, "is no socket")
+    sock = socket.socket(fileno=number)
+    try:
+        if sock.family != socket.AF_INET or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(errno.EINVAL, "is no listening TCP socket")
+        sock.setblocking(False)
+        os.set_inheritable(number, False)
+    except OSError:
+        sock.detach()
+        raise
+    return sock
+
+
 class Listener:
     """Owner of listening sockets and of the spare descriptor. `taken` is called with each socket and its address."""
 
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -35,6 +35,7 @@
 
 if TYPE_CHECKING:
     from .records.observer import Observer
+    from .service.shift import Shift
     from .state.duty import Duty
     from .state.figures import Figures
     from .state.undeliverable import Undeliverable
@@ -65,6 +66,7 @@
         self.undeliverable: Undeliverable | None = None   # the store, where it is on
         self.figures: Figures | None = None        # where there are operators,
         self.duty: Duty | None = None              # and whether clients are taken
+        self.shift: Shift | None = None            # where another process of this sender may live
         self.backend: Backend
         self.notices: Notices
 
@@ -142,6 +144,13 @@
             self.observer.table(version, True, len(roster), roster)
         self._facade.report(Table("whole", self._table.shown(roster), version))
 
+    def doubted(self, servers: dict[str, float]) -> None:
+        """Another process of this sender has seen these fail since then: they are met as from an outage."""
+        rows = [row._replace(out_since=since) for name, since in servers.items()
+                if (row := self._table.row(name)) is not None]
+        if rows:
+            self._facade.report(Table("changes", self._table.shown(rows), self._table.version))
+
     def by_hand(self, name: str, out_since: float | None = None) -> None:
         """A server was taken out by hand, or put back after having been out since then.
 
@@ -155,8 +164,12 @@
 
     def restore(self) -> None:
         """Take up what an earlier life of this sender took on."""
+        self.take_up(list(self._journal.kept.values()))
+
+    def take_up(self, left: list[Kept]) -> None:
+        """Take up what is owed by the journal, and by nobody else any more."""
         now, unix = self._clock(), time.time()
-        for kept in list(self._journal.kept.values()):
+        for kept in left:
             if self.observer is not None:
                 self.observer.restored(kept)
             again = self.undeliverable is not None and kept.id in self.undeliverable.again
@@ -224,8 +237,10 @@
                         call.cancel(request)
                 case Retire(server):
                     self.backend.pool.retire(server)
-                case Remark(text):
+                case Remark(text, server, state):
                     log.info("%s", text)
+                    if self.shift is not None and server:
+                        self.shift.health(server, state)
 
     def _say(self, request: Request, said: Answer) -> bool:
         """Tell a client its one answer; whether it was still there."""
@@ -423,6 +438,13 @@
 
     # --- Stopping.
 
+    def calls_out(self) -> int:
+        return len({id(call) for call in self._calls.values()})
+
+    def hold_at_most(self, most: int) -> None:
+        """So many requests from now on; those beyond it stay."""
+        self._requests.hold_at_most(most)
+
     def open(self) -> int:
         """Messages that were taken on and have not ended, those left for the next life among them."""
         return len(self._requests) - len(self._asking) + self._left
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -41,6 +41,7 @@
     kinds: list[str]
     fields: list[str]
     admin: tuple[str, int] | None = None   # the operators' address
+    accept_fd: int | None = None           # the clients' listening socket, where it is inherited
 
     @property
     def classes(self) -> dict[str, int]:
@@ -159,7 +160,16 @@
                 told.setdefault(key, environ[variable])
         if "RELAY_ADMIN_ADDR" in environ:
             told.setdefault("admin_addr", environ["RELAY_ADMIN_ADDR"])
-    return check(told, Path(environ["RELAY_STATE"]))
+    return replace(check(told, Path(environ["RELAY_STATE"])), accept_fd=_accept_fd(environ))
+
+
+def _accept_fd(environ: Mapping[str, str]) -> int | None:
+    number = environ.get("RELAY_ACCEPT_FD")
+    if not number:
+        return None
+    if not (number.isascii() and number.isdigit() and len(number) < 8):
+        raise ConfigError(f"RELAY_ACCEPT_FD must be the number of a descriptor, not {number!r}")
+    return int(number)
 
 
 def reload(old: Config, environ: Mapping[str, str] = os.environ) -> Config:
--- a/linkdock/service/operations.py
+++ b/linkdock/service/operations.py
@@ -56,6 +56,19 @@
     def tidy(self) -> None:
         self.rotation.forget(self._listed)
 
+    def heard(self) -> None:
+        """The other process of an upgrade may have taken endpoints out, or put them back."""
+        before = {name: self.rotation.since(name) for name in self.rotation}
+        self.rotation.read()
+        for name in self.rotation:
+            if name not in before:
+                log.info("%s is out by hand, as another process was told", name)
+                self._sender.by_hand(name)
+        for name, since in before.items():
+            if name not in self.rotation:
+                log.info("%s is back from being out by hand, as another process was told", name)
+                self._sender.by_hand(name, self._clock() - max(0.0, time.time() - since))
+
     def reloaded(self, taken: bool) -> None:
         if taken:
             self.figures.accepted += 1
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -5,16 +5,20 @@
 import asyncio
 import logging
 import signal
+import socket
 import sys
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, TypeVar
 
+from tornado.netutil import bind_sockets
+
 from ..connections.pool import ConnectionPool
 from ..facade import Facade, Table
 from ..options import OptionError, switched_on
 from ..protocol.calls import Backend
 from ..protocol.discovery import Watch, read_news
 from ..protocol.frontend import Frontend
+from ..protocol.listening import inherited
 from ..protocol.notices import Notices
 from ..sender import Sender
 from ..state.journal import Journal
@@ -30,6 +34,7 @@
     from ..state.snapshots import Dormancy
     from ..state.undeliverable import Undeliverable
     from .operations import Operations
+    from .shift import Shift
 
 log = logging.getLogger(__name__)
 T = TypeVar("T")
@@ -39,6 +44,7 @@
 NO_UNSAFE_AFTER = 1.7   # seconds after SIGTERM from which what may not be repeated is not started
 TIDY_EVERY = 5.0        # seconds between looks for what the server table may forget
 LOOK_EVERY = 0.05       # seconds between looks whether it could leave before:
+SIBLING_EVERY = 0.05    # and between looks for the sender's other processes
 LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
 
 
@@ -56,7 +62,9 @@
         self._config = config
         self._wheel = Wheel(settings.tick, clock())
         try:
-            self._journal = Journal(config.state, int(config.disk_mb * 1e6))
+            self._shift = self._succeed(config)
+            self._journal = (Journal(config.state, int(config.disk_mb * 1e6)) if self._shift is None
+                             else self._shift.journal)
         except OSError as bad:
             raise ConfigError(f"RELAY_STATE: {bad}") from None
         table = self._table = ServerTable((kind.apart for kind in settings.kinds), clock)
@@ -87,6 +95,9 @@
         self._undeliverable = self.sender.undeliverable = self._store(config)
         if self._operations is not None:
             self._operations.count(self.sender)
+        if self._shift is not None:
+            self._shift.join(self.sender, facade, table, self._operations)
+            self._look()
         self.sender.restore()
         if self._undeliverable is not None:
             self._undeliverable.start(self.sender.resend)
@@ -98,10 +109,14 @@
         self._clients = self._admission(config)
         gate = None if self._clients is None else self._clients.gate
         try:
-            self.frontend = Frontend(self.sender, config.listen, self._wheel, self.spawn, config.most_clients,
+            self.frontend = Frontend(self.sender, self._listening(config), self._wheel, self.spawn, config.most_clients,
                                      config.usual_clients, config.most_held, gate)
         except OSError as bad:
-            raise ConfigError(f"listen: {bad}") from None
+            raise ConfigError(f"{'listen' if config.accept_fd is None else 'RELAY_ACCEPT_FD'}: {bad}") from None
+        if self._shift is not None:
+            self._shift.share = self._share
+            self._share(self._shift.beside)
+            self._shift.taking()
         if self._operations is not None:
             try:
                 self._operations.open(self.frontend, self._wheel, self.spawn)
@@ -116,6 +131,33 @@
             self._observer.ready(self.frontend.port)
         self._beat()
 
+    @staticmethod
+    def _succeed(config: Config) -> Shift | None:
+        """This process among those of its sender, where there may be several or a folder of such is found."""
+        if config.accept_fd is None and not any(config.state.glob("lock.*")):
+            return None
+        if config.accept_fd is not None and switched_on("undeliverable") is not None:
+            raise ConfigError("RELAY_ACCEPT_FD: undeliverable.json cannot be on where two processes share a folder")
+        from .shift import Shift
+        return Shift(config, asyncio.get_running_loop().time)
+
+    @staticmethod
+    def _listening(config: Config) -> list[socket.socket]:
+        if config.accept_fd is not None:
+            return [inherited(config.accept_fd)]
+        return bind_sockets(config.listen[1], config.listen[0], family=socket.AF_INET, backlog=512)
+
+    def _look(self) -> None:
+        self._wheel.after(SIBLING_EVERY, self._look)
+        self._shift.look()
+
+    def _share(self, beside: bool) -> None:
+        """Another process of this sender has come or gone: the descriptors are for both together."""
+        told = self._config
+        if self._clients is None:   # else they are shared out by what is measured
+            self.frontend.hold_at_most(told.usual_clients if beside else told.most_clients)
+        self._pool.hold_at_most(max(told.settings.slots, told.sockets // 8) if beside else told.most_backends)
+
     def _operators(self, config: Config, facade: Facade, table: ServerTable) -> Operations | None:
         """What stands behind the operators' address, where the platform gives one."""
         if config.admin is None:
@@ -207,6 +249,8 @@
         self._loop.call_at(self._due, self._beat)
         try:
             self._wheel.advance(self._loop.time())
+            if self._shift is not None:
+                self._shift.beat()
             self.sender.beat()
         except Exception as bad:
             # What the decisions hold is not to be trusted any more; the journal is, and a restart reads it.
@@ -236,7 +280,13 @@
         if self._observer is not None:
             self._observer.stopping()
         self.sender.stop_unsafe(self._loop.time() + NO_UNSAFE_AFTER)
-        self._wheel.after(ACCEPT_FOR, self._stop_accepting)
+        relieved = self._shift is not None and self._shift.relieved()
+        if self._shift is not None:
+            self._shift.leaving()
+        if relieved:
+            self._stop_accepting()   # what comes from now on is the other's, who reads the same socket
+        else:
+            self._wheel.after(ACCEPT_FOR, self._stop_accepting)
         self._wheel.after(LEAVE_AFTER, self._stop.set)
 
     def _stop_accepting(self) -> None:
@@ -244,7 +294,7 @@
         self._leave_when_done()
 
     def _leave_when_done(self) -> None:
-        if self.sender.finishing():
+        if self.sender.finishing() or self.frontend.beginning():
             self._wheel.after(LOOK_EVERY, self._leave_when_done)
         else:
             self._stop.set()
@@ -267,7 +317,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)   # calls still put proofs on record
         if self._undeliverable is not None:
             self._undeliverable.close()
-        for part in (self._watch, self._notices, self._pool, self._journal):
+        for part in (self._watch, self._notices, self._pool, self._shift or self._journal):
             part.close()
         for part in (self._dormancy, self._clients):
             if part is not None:
--- /dev/null
+++ b/linkdock/service/shift.py
@@ -0,0 +1,182 @@
+"""One of the processes that make up a sender while it is upgraded: what it takes up, shares and hears.
+
+Imported where the clients' listening socket is inherited (`RELAY_ACCEPT_FD`), or where such a process left its files.
+Two processes are one sender to every rule: a wait told to one binds the other, a server that one has seen fail is met
+by the other as from an outage, calls out and open messages are counted together, and so are descriptors and disk.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from ..facade import Facade
+from ..sender import Sender
+from ..state import board as notes
+from ..state.board import Board, Fact, Reader
+from ..state.journal import Journal, Kept, owed
+from ..state.succession import Left, Succession
+from ..state.table import ServerTable
+
+if TYPE_CHECKING:
+    from .config import Config
+    from .operations import Operations
+
+log = logging.getLogger(__name__)
+
+# Parts of the folder for the journal's file and for what is owed. Danger: two files, the new one of a rewrite, and what
+# a survivor takes over must fit together.
+ALONE_PARTS, ELDER_PARTS, YOUNGER_PARTS = (0.40, 0.25), (0.40, 0.25), (0.20, 0.10)
+# Of the descriptors for connections to backend servers while two live; each may hold as many clients as are usual.
+SHARED_BACKENDS = 8
+
+
+class Shift:
+    """Owner of this process's number, its board, and the readers of the others' boards."""
+
+    def __init__(self, config: Config, clock: Callable[[], float]) -> None:
+        """Raises OSError where the folder takes no files."""
+        self._config, self._clock = config, clock
+        self._succession = Succession(config.state)
+        self._board = Board(self._succession.board(self._succession.number))
+        self._others: dict[int, Reader | None] = {}
+        self._state = notes.STARTING
+        self.share: Callable[[bool], None] = lambda alive: None   # to be called when another comes or goes
+        self._sender: Sender
+        self._facade: Facade
+        self._table: ServerTable
+        self._operations: Operations | None = None
+        self.journal = Journal(config.state, int(config.disk_mb * 1e6), self._succession.journal)
+        alive, left = self._succession.look()
+        self._meet(alive)
+        self._take_up([*left, *self._succession.alone()])
+        log.info("process %d of this sender%s", self._succession.number,
+                 f", beside {', '.join(map(str, self._others))}" if self._others else "")
+
+    def join(self, sender: Sender, facade: Facade, table: ServerTable, operations: Operations | None) -> None:
+        """From now on facts go both ways; what the others know already comes first."""
+        self._sender, self._facade, self._table, self._operations = sender, facade, table, operations
+        sender.shift = self
+        table.heard = self._wait_told
+        self.beat()
+
+    # --- Who lives.
+
+    def look(self) -> None:
+        """Every now and then: who has come, who has gone, and what the dead left."""
+        alive, left = self._succession.look()
+        if alive != list(self._others):
+            self._meet(alive)
+            self.share(bool(alive))
+            if not alive:
+                self._together(0, 0)
+        if left:
+            self._sender.take_up(self._take_up(left))
+        if self._others and self._operations is not None:
+            self._operations.heard()
+
+    def _meet(self, alive: list[int]) -> None:
+        for number in [n for n in self._others if n not in alive]:
+            log.info("process %d has ended", number)
+            reader = self._others.pop(number)
+            if reader is not None:
+                reader.close()
+        for number in alive:
+            if self._others.get(number) is None:
+                try:
+                    self._others[number] = Reader(self._succession.board(number))
+                except OSError:   # it has just begun
+                    self._others[number] = None
+        self._others = {number: self._others[number] for number in alive}
+        older = any(number < self._succession.number for number in alive)
+        self.journal.hold_at_most(*(YOUNGER_PARTS if older else ELDER_PARTS if alive else ALONE_PARTS))
+
+    def _take_up(self, left: list[Left]) -> list[Kept]:
+        """What dead processes owed is ours from now on. All of it is in our journal before any of their files goes."""
+        fresh: dict[str, Kept] = {}
+        try:
+            for one in left:   # the newest first: what it says of a message holds
+                for name, kept in owed(one.journal).items():
+                    if name not in self.journal.kept:
+                        fresh.setdefault(name, kept)
+            taken = self.journal.adopt(list(fresh.values()))
+        except (OSError, ValueError, TypeError, KeyError) as bad:
+            log.error("what an ended process left cannot be read: %s", bad)
+            taken = False
+        if not taken:
+            for one in left:
+                one.keep()
+            return []
+        for one in left:
+            try:
+                one.done()
+            except OSError as bad:
+                log.error("the files of process %d cannot be removed: %s", one.number, bad)
+        if fresh:
+            log.info("%d messages of %s are taken up", len(fresh), ", ".join(f"process {one.number}" for one in left))
+        return list(fresh.values())
+
+    @property
+    def beside(self) -> bool:
+        return bool(self._others)
+
+    def relieved(self) -> bool:
+        """Whether another process takes clients, so that this one need not any more."""
+        return any(reader is not None and reader.figures.state == notes.TAKING for reader in self._others.values())
+
+    # --- What is told.
+
+    def taking(self) -> None:
+        self._state = notes.TAKING
+        self.beat()
+
+    def leaving(self) -> None:
+        self._state = notes.LEAVING
+        self.beat()
+
+    def beat(self) -> None:
+        """Once a tick, before the decisions' pass."""
+        if not self._others:
+            return
+        self._board.figures(notes.Figures(self._sender.calls_out(), self._sender.open(), self._state))
+        calls = opened = 0
+        doubtful: dict[str, float] = {}
+        for reader in self._others.values():
+            if reader is None:
+                continue
+            for fact in reader.news():
+                if fact.ring == notes.WAITS:
+                    self._table.wait((fact.number, fact.name) if fact.name else (fact.number,), fact.time)
+                elif fact.number == notes.SUSPECT:
+                    doubtful.setdefault(fact.name, fact.time)
+                else:
+                    doubtful.pop(fact.name, None)
+            calls, opened = calls + reader.figures.calls, opened + reader.figures.open
+        if doubtful:
+            self._sender.doubted(doubtful)
+        self._together(calls, opened)
+
+    def _together(self, calls: int, opened: int) -> None:
+        """The others have so many calls out and messages open: the rest is ours."""
+        self._facade.hold_slots(self._config.settings.slots - calls)
+        self._sender.hold_at_most(self._config.settings.max_open - opened)
+
+    def _wait_told(self, route: tuple, until: float) -> None:
+        self._board.put(Fact(notes.WAITS, until, route[0], route[1] if len(route) > 1 else ""))
+
+    def health(self, server: str, state: str) -> None:
+        """The decisions have stopped a server, or found it sound. One that only returns is as doubtful as before."""
+        if state == "suspect":
+            self._board.put(Fact(notes.HEALTH, self._clock(), notes.SUSPECT, server))
+        elif state == "healthy":
+            self._board.put(Fact(notes.HEALTH, self._clock(), notes.HEALTHY, server))
+
+    def close(self) -> None:
+        """What is still owed is the next one's as soon as the lock is let go."""
+        for reader in self._others.values():
+            if reader is not None:
+                reader.close()
+        self._board.close()
+        self.journal.close()
+        self._succession.close()
--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -13,6 +13,7 @@
 import os
 import struct
 import zlib
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -24,6 +25,7 @@
 FILE_PART = 0.55                # of the folder that the file may take; the rest is for its successor,
 NEARLY = 0.9                    # of that, from which it is as good as full
 LIVE_PART = 0.35                # which holds what is owed; a take beyond this is denied
+ROOM_TO_END = 0.1               # beside what is owed, which the file may take in any case
 MOST_RECORD = 1 << 20
 
 
@@ -46,13 +48,59 @@
         return len(self.body) + 256
 
 
+def records(data: bytes) -> Iterator[tuple[int, bytes, dict, bytes]]:
+    """The whole records of a journal: where each ends, its kind, head and body. A torn one ends them."""
+    at = 0
+    while at + HEAD.size <= len(data):
+        length, check, kind, head_size = HEAD.unpack_from(data, at)
+        body = data[at + 8:at + 8 + length]
+        if length > MOST_RECORD or len(body) < length or zlib.crc32(body) != check:
+            return
+        rest = data[at + HEAD.size:at + 8 + length]
+        at += 8 + length
+        yield at, kind, json.loads(rest[:head_size]), rest[head_size:]
+
+
+def apply(kept: dict[str, Kept], kind: bytes, head: dict, body: bytes) -> int:
+    """Take one record in; by how many bytes more or less is owed."""
+    if kind == TAKE:
+        doubt = set(head.pop("doubt", ()))
+        fresh = kept[head["id"]] = Kept(**head, body=body, doubt=doubt)
+        return fresh.size()
+    one = kept.get(head["id"])
+    if one is None:
+        return 0
+    if kind == SENT:
+        one.used = max(one.used, head["n"] + 1)
+        one.doubt.add(head["n"])
+    elif kind == NEVER:
+        one.doubt.discard(head["n"])
+    elif kind == NOTICE:
+        one.notice = head["notice"]
+    elif kind == END:
+        return -kept.pop(head["id"]).size()
+    return 0
+
+
+def owed(path: Path) -> dict[str, Kept]:
+    """What a journal that is nobody's any more still holds. Raises OSError other than that there is none."""
+    kept: dict[str, Kept] = {}
+    try:
+        data = path.read_bytes()
+    except FileNotFoundError:
+        return kept
+    for _, kind, head, body in records(data):
+        apply(kept, kind, head, body)
+    return kept
+
+
 class Journal:
     """Owner of the file and of the record of each request in it, from `take` to `end`."""
 
-    def __init__(self, folder: Path, disk_bytes: int) -> None:
-        self._path, self._next = folder / "journal", folder / "journal.new"
-        self._most_file = int(disk_bytes * FILE_PART) // BLOCK * BLOCK
-        self._most_live = int(disk_bytes * LIVE_PART) // BLOCK * BLOCK
+    def __init__(self, folder: Path, disk_bytes: int, name: str = "journal") -> None:
+        self._path, self._next = folder / name, folder / f"{name}.new"
+        self._disk_bytes = disk_bytes
+        self.hold_at_most(FILE_PART, LIVE_PART)
         self.kept: dict[str, Kept] = {}
         self._holds: dict[str, bool] = {}   # what is not to be let go of yet: whether its end has come
         self._live = 0
@@ -66,41 +114,21 @@
     def _load(self) -> int:
         data = self._path.read_bytes()
         at = 0
-        while at + HEAD.size <= len(data):
-            length, check, kind, head_size = HEAD.unpack_from(data, at)
-            body = data[at + 8:at + 8 + length]
-            if length > MOST_RECORD or len(body) < length or zlib.crc32(body) != check:
-                break
-            rest = data[at + HEAD.size:at + 8 + length]
-            self._apply(kind, json.loads(rest[:head_size]), rest[head_size:])
-            at += 8 + length
+        for at, kind, head, body in records(data):   # noqa: B007: where the last whole one ends
+            self._live += apply(self.kept, kind, head, body)
         if at < len(data):
             # Danger: a record torn by SIGKILL. What follows it is unreadable, so that new ones must not.
             log.warning("journal: cut off %d torn bytes", len(data) - at)
             os.ftruncate(self._file, at)
         return at
 
-    def _apply(self, kind: bytes, head: dict, body: bytes) -> None:
-        if kind == TAKE:
-            doubt = set(head.pop("doubt", ()))
-            kept = self.kept[head["id"]] = Kept(**head, body=body, doubt=doubt)
-            self._live += kept.size()
-            return
-        kept = self.kept.get(head["id"])
-        if kept is None:
-            return
-        if kind == SENT:
-            kept.used = max(kept.used, head["n"] + 1)
-            kept.doubt.add(head["n"])
-        elif kind == NEVER:
-            kept.doubt.discard(head["n"])
-        elif kind == NOTICE:
-            kept.notice = head["notice"]
-        elif kind == END:
-            self._live -= self.kept.pop(head["id"]).size()
-
     # --- Writing.
 
+    def hold_at_most(self, file_part: float, live_part: float) -> None:
+        """So much of the folder from now on, for the file and for what is owed."""
+        self._most_file = int(self._disk_bytes * file_part) // BLOCK * BLOCK
+        self._most_live = int(self._disk_bytes * live_part) // BLOCK * BLOCK
+
     @staticmethod
     def _record(kind: bytes, head: dict, body: bytes = b"") -> bytes:
         text = json.dumps(head, separators=(",", ":")).encode()
@@ -119,9 +147,11 @@
         return self._record(TAKE, head, kept.body)
 
     def _append(self, data: bytes) -> bool:
-        if self._size + len(data) > self._most_file:
+        # What was adopted may be more than the bounds say, and its ends must have room all the same.
+        most = max(self._most_file, self._live + int(self._disk_bytes * ROOM_TO_END))
+        if self._size + len(data) > most:
             self._compact()
-        if self._size + len(data) > self._most_file:
+        if self._size + len(data) > most:
             return False
         try:
             written = os.write(self._file, data)
@@ -135,7 +165,7 @@
         self._size += written
         return True
 
-    def _compact(self) -> None:
+    def _compact(self) -> bool:
         """Rewrite the file with what is owed; the old one stays until the new one is whole."""
         data = b"".join(map(self._take_record, self.kept.values()))
         fresh = None
@@ -151,9 +181,10 @@
             if fresh is not None:
                 os.close(fresh)
             self._next.unlink(missing_ok=True)
-            return
+            return False
         os.close(self._file)
         self._file, self._size = fresh, len(data)
+        return True
 
     def full(self) -> bool:
         """Whether there is hardly room for what is owed."""
@@ -167,12 +198,25 @@
         self._live += kept.size()
         return True
 
+    def adopt(self, others: list[Kept]) -> bool:
+        """Take over what another process owed, whatever the bounds say: it is owed already. False: nothing was taken.
+
+        All of it goes by one write into a file of its own beside this one, which takes this one's place.
+        """
+        fresh = {kept.id: kept for kept in others if kept.id not in self.kept}
+        before, self.kept = self.kept, {**self.kept, **fresh}
+        if fresh and not self._compact():
+            self.kept = before
+            return False
+        self._live += sum(kept.size() for kept in fresh.values())
+        return True
+
     def _note(self, kind: bytes, head: dict) -> bool:
         if head["id"] not in self.kept:
             return False
         done = self._append(self._record(kind, head))
         if done or kind == END:   # an end that could not be written is at worst told again
-            self._apply(kind, head, b"")
+            self._live += apply(self.kept, kind, head, b"")
         return done
 
     def sent(self, request: str, attempt: int) -> bool:
--- a/linkdock/state/requests.py
+++ b/linkdock/state/requests.py
@@ -65,6 +65,9 @@
     def __iter__(self):
         return iter(self._open.values())
 
+    def hold_at_most(self, most: int) -> None:
+        self._most = most
+
     def full(self) -> bool:
         return len(self._open) >= self._most
 
--- a/linkdock/state/table.py
+++ b/linkdock/state/table.py
@@ -26,6 +26,7 @@
         self._emptied: dict[int, float] = {}   # destinations without a row: until when they are known
         self._before_until = -inf
         self.out: Container[str] = ()          # by hand, where there are operators
+        self.heard: Callable[[tuple, float], None] | None = None   # told of each wait, where another process is too
 
     def update(self, servers: Iterable[Server], version: int) -> None:
         """Take in changes."""
@@ -77,12 +78,22 @@
     def told_wait(self, row: Server, until: float) -> tuple:
         """A server's answer asked for quiet until then; what that binds."""
         route = self._route(row)
+        self.wait(route, until)
+        if self.heard is not None:
+            self.heard(route, until)
+        return route
+
+    def wait(self, route: tuple, until: float) -> None:
         self._waits[route] = max(until, self._waits.get(route, -inf))
         if len(self._waits) > self._most_waits:
             now = self._clock()
             self._waits = {r: u for r, u in self._waits.items() if u > now}
             self._most_waits = max(MOST_WAITS, 2 * len(self._waits))
-        return route
+
+    def waits(self, name: str, now: float) -> float:
+        """For how many seconds from now nothing may be sent to this server because of a wait."""
+        row = self.roster.row(name)
+        return 0.0 if row is None else max(0.0, self._waits.get(self._route(row), -inf) - now)
 
     def closed(self, name: str, now: float) -> str | None:
         """Why nothing may be sent to this server just now, or None."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -167,13 +167,15 @@
 class Program:
     """The real program as its own process, with a folder that lasts."""
 
-    def __init__(self, folder, backends, discovery=None, limits=None, deploy=None, admin=None, **more):
+    def __init__(self, folder, backends, discovery=None, limits=None, deploy=None, admin=None, accept=None, state=None,
+                 **more):
         self.discovery = discovery or Discovery()
         self.deploy = folder / "deploy"   # what is switched on: a file's name and its settings
         self.deploy.mkdir(exist_ok=True)
         for name, told in (deploy or {}).items():
             (self.deploy / f"{name}.json").write_text(json.dumps(told))
-        self.state = folder / "state"
+        self.accept = accept   # the clients' listening socket, where the test holds it
+        self.state = state or folder / "state"
         self.state.mkdir(exist_ok=True)
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.dial, "seed": "8c1f30d2",
                   "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3, **(limits or {})},
@@ -188,8 +190,11 @@
     def start(self):
         env = {**os.environ, "RELAY_CONFIG": str(self.config), "RELAY_STATE": str(self.state),
                "LINKDOCK_DEPLOY": str(self.deploy)}
+        inherited = ()
+        if self.accept is not None:
+            inherited, env["RELAY_ACCEPT_FD"] = (self.accept.fileno(),), str(self.accept.fileno())
         self.process = subprocess.Popen([sys.executable, "-m", "linkdock"], cwd=ROOT, env=env,
-                                        stderr=subprocess.PIPE, text=True)
+                                        stderr=subprocess.PIPE, text=True, pass_fds=inherited)
         self.log, ready = [], threading.Event()
 
         def read(stream):
