--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from math import inf
 from typing import NamedTuple
@@ -158,11 +158,17 @@
         self._numbers: dict[int, _Known] = {}
         self._last = 0
         self._bell: tuple[float, int] | None = None
+        self.wake: Callable[[], None] | None = None   # called whenever there is something for a tick
 
     # --- In.
 
     def report(self, fact: Table | Take | End | Withdraw) -> None:
         """Queue a fact for the next tick. What is unknown or long over is passed over."""
+        self._take_in(fact)
+        if self._facts and self.wake is not None:
+            self.wake()
+
+    def _take_in(self, fact: Table | Take | End | Withdraw) -> None:
         match fact:
             case Table(how, servers, version):
                 if self._sleeper is not None:
@@ -209,6 +215,10 @@
         """Whether a tick has anything to do."""
         return bool(self._facts) or self._bell is not None and self._bell[0] <= now
 
+    def next_due(self) -> float:
+        """When the next tick has something to do, as far as is known; -inf for at once, inf for never."""
+        return -inf if self._facts else inf if self._bell is None else self._bell[0]
+
     def tick(self, now: float) -> None:
         """One decision pass over all that was reported."""
         facts, self._facts = self._facts, []
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -58,9 +58,10 @@
         self._stopping = False
         self._stop = asyncio.Event()
         self._due, self._hold = self._loop.time(), 0.0   # of the next beat; the latest that one came
+        self._next: asyncio.TimerHandle | None = None    # none in the middle of one, and before the first
         settings, clock = config.settings, self._loop.time
         self._config = config
-        self._wheel = Wheel(settings.tick, clock())
+        self._wheel = Wheel(settings.tick, clock(), clock, self._beat_at)
         try:
             self._shift = self._succeed(config)
             self._journal = (Journal(config.state, int(config.disk_mb * 1e6)) if self._shift is None
@@ -69,7 +70,9 @@
             raise ConfigError(f"RELAY_STATE: {bad}") from None
         table = self._table = ServerTable((kind.apart for kind in settings.kinds), clock)
         self._dormancy = self._sleep(config, table, clock)
-        facade = Facade(settings, config.seed, None if self._dormancy is None else self._dormancy.sleeper)
+        facade = self._facade = Facade(settings, config.seed,
+                                       None if self._dormancy is None else self._dormancy.sleeper)
+        facade.wake = self._soon
         self._operations = self._operators(config, facade, table)
         if config.known:
             try:
@@ -242,13 +245,12 @@
             log.error("a task failed", exc_info=task.exception())
 
     def _beat(self) -> None:
-        """Once a tick: timers, then decisions."""
+        """Once in each tick in which anything is to be done: timers, then decisions."""
         now = self._loop.time()
         self._hold = max(self._hold, now - self._due)
-        self._due = now + self._wheel.tick
-        self._loop.call_at(self._due, self._beat)
+        self._next = None
         try:
-            self._wheel.advance(self._loop.time())
+            self._wheel.advance(now)
             if self._shift is not None:
                 self._shift.beat()
             self.sender.beat()
@@ -257,6 +259,24 @@
             log.exception("a tick failed")
             self._failed = self._failed or bad
             self._stop.set()
+        due = min(self._facade.next_due(), self._wheel.next_due())
+        if self._shift is not None and self._shift.beside:
+            due = now   # what the other one tells comes at any time
+        # Danger: beats without end. Whatever is due, the next tick is the first to see to it.
+        self._due = max(due, now + self._wheel.tick)
+        self._next = self._loop.call_at(self._due, self._beat)
+
+    def _beat_at(self, due: float) -> None:
+        """A beat is wanted by then; an idle process has none before."""
+        if self._next is not None and due < self._due:
+            self._next.cancel()
+            self._due = due
+            self._next = self._loop.call_at(due, self._beat)
+
+    def _soon(self) -> None:
+        """Something has come in: the tick in which it came ends with a beat."""
+        tick = self._wheel.tick
+        self._beat_at((int(self._loop.time() / tick) + 1) * tick)
 
     def reload(self) -> None:
         """SIGHUP: go on with what the configuration's file says now; also while stopping."""
--- a/linkdock/state/wheel.py
+++ b/linkdock/state/wheel.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 from collections.abc import Callable
+from math import inf
+
+SPARE = 64      # turns that may be kept beside those of spokes, and as many as there are spokes
+SURELY = 0.01   # part of a tick
 
 
 class Timer:
@@ -19,24 +24,54 @@
 
 
 class Wheel:
-    """Timers on spokes of one tick each; it advances when its owner says what time it is."""
+    """Timers on spokes of one tick each; it advances when its owner says what time it is.
+
+    With a `clock` its owner may let it stand while nothing is due: `next_due` says until when, and `wake` is called
+    with the time of each timer that is set.
+    """
 
-    def __init__(self, tick: float, now: float) -> None:
-        self.tick, self.now = tick, now
+    def __init__(self, tick: float, now: float, clock: Callable[[], float] | None = None,
+                 wake: Callable[[float], None] | None = None) -> None:
+        self.tick, self._now, self._clock, self._wake = tick, now, clock, wake
         self._turn = int(now / tick)
         self._spokes: dict[int, set[Timer]] = {}
+        self._order: list[int] = []   # a heap of their turns, some of which are gone
+
+    @property
+    def now(self) -> float:
+        return self._now if self._clock is None else self._clock()
 
     def __len__(self) -> int:
         """Spokes in use."""
         return len(self._spokes)
 
     def after(self, seconds: float, call: Callable[[], None]) -> Timer:
-        """Call back once, `seconds` after the last advance."""
+        """Call back once, so many seconds from now."""
         turn = max(self._turn, int((self.now + max(seconds, 0.0)) / self.tick)) + 1
         timer = Timer(self, turn, call)
-        self._spokes.setdefault(turn, set()).add(timer)
+        spoke = self._spokes.get(turn)
+        if spoke is not None:
+            spoke.add(timer)
+            return timer
+        self._spokes[turn] = {timer}
+        if len(self._order) > 2 * len(self._spokes) + SPARE:
+            self._order = sorted(self._spokes)   # Danger: most timers are cancelled, and their turns would stay
+        else:
+            heapq.heappush(self._order, turn)
+        if self._wake is not None:
+            self._wake(self._time(turn))
         return timer
 
+    def _time(self, turn: int) -> float:
+        """When a spoke is surely due, whatever the division of its time by a tick comes to."""
+        return (turn + SURELY) * self.tick
+
+    def next_due(self) -> float:
+        """When the next timer is due; infinite where none is set."""
+        while self._order and self._order[0] not in self._spokes:
+            heapq.heappop(self._order)
+        return self._time(self._order[0]) if self._order else inf
+
     async def pause(self, seconds: float) -> None:
         """Let others run for so long."""
         done = asyncio.get_running_loop().create_future()
@@ -54,7 +89,7 @@
 
     def advance(self, now: float) -> None:
         """Fire all that is due. A callback may set and cancel timers, also those due at this moment."""
-        self.now, turn = now, int(now / self.tick)
+        self._now, turn = now, int(now / self.tick)
         if turn - self._turn <= len(self._spokes):
             due = range(self._turn + 1, turn + 1)
         else:   # after a long stall: the spokes that exist, not every tick that passed
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -173,6 +173,24 @@
     assert len(wheel) == 0
 
 
+def test_a_wheel_that_stands_says_until_when_and_calls_for_each_earlier_timer():
+    now, woken, fired = [100.0], [], []
+    wheel = Wheel(0.005, now[0], lambda: now[0], woken.append)
+    assert wheel.next_due() == float("inf")
+    first = wheel.after(1.0, lambda: fired.append("first"))
+    now[0] = 150.0   # it stood for long: a timer counts from now, not from the last advance
+    wheel.after(0.02, lambda: fired.append("second"))
+    assert 101.0 <= woken[0] < 101.01 and 150.02 <= woken[1] < 150.03
+    first.cancel()
+    assert wheel.next_due() == woken[1]
+    wheel.advance(woken[1])   # due then, whatever a division by the tick comes to
+    assert fired == ["second"] and wheel.next_due() == float("inf")
+    for n in range(10_000):
+        now[0] += 0.01
+        wheel.after(300.0, fired.clear).cancel()
+    assert len(wheel._order) < 200
+
+
 @pytest.mark.parametrize("apart", [False, True])
 def test_a_wait_binds_the_destination_or_where_routes_are_apart_the_server(apart):
     table = ServerTable([apart])
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -1411,3 +1411,21 @@
     else:
         line.answer(200)
         until_state(program, "bb01", "delivered")
+
+
+def test_an_idle_program_sleeps(start):
+    """It wakes for its timers alone. With a beat each tick it woke 200 times a second."""
+    program = start([Backend("s1")])
+    _, tell = program.discovery.watch()
+    client = program.client()
+    assert client.enqueue("ia01", dest=1) == "+OK"   # and it does so after work too
+
+    def wakes():
+        with open(f"/proc/{program.process.pid}/status") as told:
+            return next(int(line.split()[1]) for line in told if line.startswith("voluntary_ctxt_switches"))
+    program.logged("listens on")
+    before, began = wakes(), time.monotonic()
+    while time.monotonic() < began + 1.0:   # the time that is measured
+        time.sleep(0.05)
+    assert wakes() - before < 60
+    assert client.enqueue("ia02", dest=1) == "+OK"
