--- a/linkdock/decide.py
+++ b/linkdock/decide.py
@@ -721,7 +721,8 @@
         route.pause = min(route.pause * RETRY_GROW, self.s.tip_after)
 
     def say(self, link: Link, state: str, why: str) -> None:
-        self.acts.append(i.Log(f"route {link.entry.destination}/{link.host}: {state}: {why}", link.host, state))
+        text = f"route {link.entry.destination}/{link.host}: {state}: {why}"
+        self.acts.append(i.Log(text, link.host, state))
 
     # --- Dispatch.
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -185,7 +185,7 @@
     assert wheel.next_due() == woken[1]
     wheel.advance(woken[1])   # due then, whatever a division by the tick comes to
     assert fired == ["second"] and wheel.next_due() == float("inf")
-    for n in range(10_000):
+    for _ in range(10_000):
         now[0] += 0.01
         wheel.after(300.0, fired.clear).cancel()
     assert len(wheel._order) < 200
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -4,6 +4,7 @@
 import struct
 import subprocess
 import sys
+import tomllib
 
 ROOT = pathlib.Path(__file__).parent.parent
 
@@ -38,3 +39,19 @@
     names: dict = {}
     exec(code, names)
     assert [type(a).__name__ for a in names["actions"] if type(a).__name__ == "Send"] == ["Send"]
+
+
+def test_the_list_of_packages_is_whole():
+    listed = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["setuptools"]["packages"]
+    there = [".".join(path.parent.relative_to(ROOT).parts) for path in (ROOT / "linkdock").rglob("__init__.py")]
+    assert sorted(listed) == sorted(there)
+
+
+def test_every_file_of_the_sender_is_under_policy_or_node():
+    told = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    named = [ROOT / name for name in told["policy"] + told["node"]]
+    # Never imported by `run`, or types alone.
+    apart = {"lab", "console", "wire.py", "drill.py", "interface.py", "__init__.py"}
+    for path in (ROOT / "linkdock").rglob("*.py"):
+        if path.relative_to(ROOT / "linkdock").parts[0] not in apart:
+            assert any(path == one or one in path.parents for one in named), path
