Add a laboratory fleet: two hundred senders on one clock against members that return or shrink

`linkdock lab fleet` plays three stories with the decisions alone: four in ten members down for 5 s and cold after it, members that halve their limit, and the first with seven in ten senders restarted at once with what they hold.

--- a/linkdock/console/main.py
+++ b/linkdock/console/main.py
@@ -183,6 +183,17 @@
     _experiment("soak", file, {"seconds": seconds}, as_json)
 
 
+@lab.command()
+@click.option("--senders", type=int, help="How many.")
+@click.option("--seeds", type=int, help="How many schedules of each story.")
+@click.option("--jobs", type=int, help="Processes that play schedules side by side.")
+@click.option("--plan", "file", type=click.Path(path_type=Path, dir_okay=False), help="A file of figures as JSON.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def fleet(senders: int | None, seeds: int | None, jobs: int | None, file: Path | None, as_json: bool) -> None:
+    """Many senders with little traffic each: what they do together to a member that returns, or halves its limit."""
+    _experiment("fleet", file, {"senders": senders, "seeds": seeds, "jobs": jobs}, as_json)
+
+
 def _experiment(name: str, file: Path | None, options: dict, as_json: bool) -> None:
     """Read the plan, run the experiment of that name and print its report."""
     import importlib
