Tell waits on to a third process, which broke the rule; hand over what waits at SIGTERM

Checked: a wait told to the first process is on its board and heard by the second (a probe of the boards), but the second did not put it on its own (Shift.beat put only what its own calls were told), so that a third, which comes when the first has ended, knew nothing of it. Excluded: facts lost by the ring (the probe found all), and other readings of the clock (the second held to the wait). Change: the table tells each wait that extends what is known, whoever told it; health names who saw it and goes on from older to younger alone, so that nothing goes round. Beside: a board that was not there yet at the first look is looked for again, the last words of an ended process are read, waits in force are told again to one that comes, and calls out are on the board before another is seen.

Hand-over: a process that is relieved leaves what has no call out to the other at once, as if another process had ended, and need not stay its 3.4 s. Not taken: sending them over a link, which would owe each message an answer from both.

--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -28,7 +28,7 @@
 from .protocol.calls import Backend, Call
 from .protocol.notices import Notices
 from .service.config import Config
-from .state.journal import Journal, Kept
+from .state.journal import MOST_MOVED, Journal, Kept
 from .state.requests import Answer, Busy, Failed, Refused, Request, Requests, Taken
 from .state.roster import Roster
 from .state.table import ServerTable
@@ -445,6 +445,19 @@
         """So many requests from now on; those beyond it stay."""
         self._requests.hold_at_most(most)
 
+    def hand_over(self) -> None:
+        """Leave what waits to the process that takes clients. What has a call out is brought to its end here."""
+        out = {request for request, _ in self._calls}
+        waiting = [r.id for r in self._requests
+                   if r.id not in out and r.id not in self._asking and r.id in self._journal.kept][:MOST_MOVED]
+        if not waiting or not self.shift.hand_over(waiting):
+            return
+        for request in waiting:
+            self._requests.remove(request)
+            self._facade.report(Withdraw(request))
+        if self.figures is not None:
+            self.figures.came -= len(waiting)   # the other counts them
+
     def open(self) -> int:
         """Messages that were taken on and have not ended, those left for the next life among them."""
         return len(self._requests) - len(self._asking) + self._left
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -56,6 +56,7 @@
         self._tasks: set[asyncio.Task] = set()
         self._failed: BaseException | None = None
         self._stopping = False
+        self._relieved = False   # while stopping: whether another process of this sender takes clients
         self._stop = asyncio.Event()
         self._due, self._hold = self._loop.time(), 0.0   # of the next beat; the latest that one came
         self._next: asyncio.TimerHandle | None = None    # none in the middle of one, and before the first
@@ -304,6 +305,7 @@
         if self._shift is not None:
             self._shift.leaving()
         if relieved:
+            self._relieved = True
             self._stop_accepting()   # what comes from now on is the other's, who reads the same socket
         else:
             self._wheel.after(ACCEPT_FOR, self._stop_accepting)
@@ -314,6 +316,8 @@
         self._leave_when_done()
 
     def _leave_when_done(self) -> None:
+        if self._relieved:
+            self.sender.hand_over()   # what waits; also what has come to wait again
         if self.sender.finishing() or self.frontend.beginning():
             self._wheel.after(LOOK_EVERY, self._leave_when_done)
         else:
--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import os
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -42,10 +43,11 @@
         self._board = Board(self._succession.board(self._succession.number))
         self._others: dict[int, Reader | None] = {}
         self._state = notes.STARTING
+        self._handed = False
         self.share: Callable[[bool], None] = lambda alive: None   # to be called when another comes or goes
         self._sender: Sender
         self._facade: Facade
-        self._table: ServerTable
+        self._table: ServerTable | None = None
         self._operations: Operations | None = None
         self.journal = Journal(config.state, int(config.disk_mb * 1e6), self._succession.journal)
         alive, left = self._succession.look()
@@ -65,8 +67,10 @@
 
     def look(self) -> None:
         """Every now and then: who has come, who has gone, and what the dead left."""
+        if self._handed:
+            return   # Danger: what was handed over would be taken up again
         alive, left = self._succession.look()
-        if alive != list(self._others):
+        if alive != list(self._others) or None in self._others.values():
             self._meet(alive)
             self.share(bool(alive))
             if not alive:
@@ -81,13 +85,16 @@
             log.info("process %d has ended", number)
             reader = self._others.pop(number)
             if reader is not None:
+                self._hear(number, reader)   # its last words
                 reader.close()
         for number in alive:
             if self._others.get(number) is None:
                 try:
                     self._others[number] = Reader(self._succession.board(number))
-                except OSError:   # it has just begun
+                except OSError:   # it has just begun, and has none yet
                     self._others[number] = None
+                else:
+                    self._tell_again()
         self._others = {number: self._others[number] for number in alive}
         older = any(number < self._succession.number for number in alive)
         self.journal.hold_at_most(*(YOUNGER_PARTS if older else ELDER_PARTS if alive else ALONE_PARTS))
@@ -121,6 +128,23 @@
     def beside(self) -> bool:
         return bool(self._others)
 
+    def hand_over(self, requests: list[str]) -> bool:
+        """Leave these to the one that takes clients: it finds them as what an ended process owed."""
+        try:
+            number, lock = self._succession.spare()
+        except OSError as bad:
+            log.error("nothing is handed over: %s", bad)
+            return False
+        folder = self._config.state
+        try:
+            self._handed = self.journal.hand_over(
+                requests, folder / f"handed.{self._succession.number}.{number}", folder / f"journal.{number}")
+        finally:
+            os.close(lock)
+        if self._handed:
+            log.info("%d messages are handed over", len(requests))
+        return self._handed
+
     def relieved(self) -> bool:
         """Whether another process takes clients, so that this one need not any more."""
         return any(reader is not None and reader.figures.state == notes.TAKING for reader in self._others.values())
@@ -137,25 +161,46 @@
 
     def beat(self) -> None:
         """Once a tick, before the decisions' pass."""
+        # Also alone: who comes reads it before this process has seen that somebody came.
+        self._board.figures(notes.Figures(self._sender.calls_out(), self._sender.open(), self._state))
         if not self._others:
             return
-        self._board.figures(notes.Figures(self._sender.calls_out(), self._sender.open(), self._state))
         calls = opened = 0
+        for number, reader in self._others.items():
+            if reader is not None:
+                self._hear(number, reader)
+                calls, opened = calls + reader.figures.calls, opened + reader.figures.open
+        self._together(calls, opened)
+
+    def _hear(self, number: int, reader: Reader) -> None:
+        """Take in what another process has told, and tell on what came from an older one.
+
+        Danger: a third process, which comes when the one that a destination told to wait has long ended. What was heard
+        must be on the board of whoever lives. A wait that is known is not told again; of health each fact names who saw
+        it, and of a younger one only its own is heard, or two would tell each other the same for ever.
+        """
         doubtful: dict[str, float] = {}
-        for reader in self._others.values():
-            if reader is None:
+        for fact in reader.news():
+            if fact.ring == notes.WAITS:
+                self._table.wait((fact.number, fact.name) if fact.name else (fact.number,), fact.time)
                 continue
-            for fact in reader.news():
-                if fact.ring == notes.WAITS:
-                    self._table.wait((fact.number, fact.name) if fact.name else (fact.number,), fact.time)
-                elif fact.number == notes.SUSPECT:
-                    doubtful.setdefault(fact.name, fact.time)
-                else:
-                    doubtful.pop(fact.name, None)
-            calls, opened = calls + reader.figures.calls, opened + reader.figures.open
+            by, state = divmod(fact.number, 2)
+            if by != number and number > self._succession.number:
+                continue
+            if number < self._succession.number:
+                self._board.put(fact)
+            if state == notes.SUSPECT:
+                doubtful.setdefault(fact.name, fact.time)
+            else:
+                doubtful.pop(fact.name, None)
         if doubtful:
             self._sender.doubted(doubtful)
-        self._together(calls, opened)
+
+    def _tell_again(self) -> None:
+        """Somebody has come. Danger: many short waits may have pushed a long one out of the ring."""
+        if self._table is not None:
+            for route, until in self._table.in_force(self._clock()):
+                self._wait_told(route, until)
 
     def _together(self, calls: int, opened: int) -> None:
         """The others have so many calls out and messages open: the rest is ours."""
@@ -167,10 +212,10 @@
 
     def health(self, server: str, state: str) -> None:
         """The decisions have stopped a server, or found it sound. One that only returns is as doubtful as before."""
-        if state == "suspect":
-            self._board.put(Fact(notes.HEALTH, self._clock(), notes.SUSPECT, server))
-        elif state == "healthy":
-            self._board.put(Fact(notes.HEALTH, self._clock(), notes.HEALTHY, server))
+        states = {"suspect": notes.SUSPECT, "healthy": notes.HEALTHY}
+        if state in states:
+            number = 2 * self._succession.number + states[state]
+            self._board.put(Fact(notes.HEALTH, self._clock(), number, server))
 
     def close(self) -> None:
         """What is still owed is the next one's as soon as the lock is let go."""
--- a/linkdock/state/board.py
+++ b/linkdock/state/board.py
@@ -24,7 +24,7 @@
 RINGS = 64                           # bytes before the first ring
 MOST_NAME = 143
 STARTING, TAKING, LEAVING = 0, 1, 2
-SUSPECT, HEALTHY = 0, 1              # in the place of a destination, for facts of health
+SUSPECT, HEALTHY = 0, 1              # in the place of a destination, for facts of health, beside twice who saw it
 
 
 class Fact(NamedTuple):
--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -19,7 +19,8 @@
 
 log = logging.getLogger(__name__)
 
-TAKE, SENT, NEVER, NOTICE, END = b"T", b"S", b"N", b"O", b"E"
+TAKE, SENT, NEVER, NOTICE, END, MOVED = b"T", b"S", b"N", b"O", b"E", b"M"
+MOST_MOVED = 1000               # requests that one record may name
 HEAD = struct.Struct("<IIcH")   # length and check sum of what follows, kind, length of the JSON head
 BLOCK = 512                     # the folder is counted in whole blocks
 FILE_PART = 0.55                # of the folder that the file may take; the rest is for its successor,
@@ -90,7 +91,11 @@
     except FileNotFoundError:
         return kept
     for _, kind, head, body in records(data):
-        apply(kept, kind, head, body)
+        if kind != MOVED:
+            apply(kept, kind, head, body)
+        elif not (path.parent / head["in"]).exists():   # else the kill came before its file was in its place
+            for request in head["ids"]:
+                kept.pop(request, None)
     return kept
 
 
@@ -211,6 +216,36 @@
         self._live += sum(kept.size() for kept in fresh.values())
         return True
 
+    def hand_over(self, requests: list[str], beside: Path, path: Path) -> bool:
+        """Let another journal, at `path`, owe these from now on; False where all stays here.
+
+        It is written `beside` first. A record here says that they have moved; it counts once that file is in its place,
+        which is one step. A kill before leaves them here, a kill after there.
+        """
+        data = b"".join(self._take_record(self.kept[request]) for request in requests)
+        try:
+            file = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+            try:
+                if os.write(file, data) < len(data):
+                    raise OSError("short write")
+            finally:
+                os.close(file)
+        except OSError as bad:
+            log.error("journal: nothing is handed over: %s", bad)
+            beside.unlink(missing_ok=True)
+            return False
+        if not self._append(self._record(MOVED, {"in": beside.name, "ids": requests})):
+            beside.unlink()
+            return False
+        try:
+            os.replace(beside, path)
+        except OSError as bad:
+            log.error("journal: nothing is handed over: %s", bad)
+            return False   # `beside` stays, so that the record does not count
+        for request in requests:
+            self._live -= self.kept.pop(request).size()
+        return True
+
     def _note(self, kind: bytes, head: dict) -> bool:
         if head["id"] not in self.kept:
             return False
--- a/linkdock/state/succession.py
+++ b/linkdock/state/succession.py
@@ -5,7 +5,8 @@
     lock.7  journal.7  board.7
 
 Only the holder of a lock touches the files of its number. When a process ends, however it ends, its lock falls;
-whoever gets the lock then owns what was left. `journal` without a number is the file of a process that runs alone, and
+whoever gets the lock then owns what was left. A process that leaves hands over what waits in the same way, under a
+further number (`handed.7.8` until it is whole). `journal` without a number is the file of a process that runs alone, and
 is taken up by a start as if it were the oldest.
 
 Danger: a kill at any step. What was left goes into the survivor's own journal first, as a whole, then the old files go,
@@ -42,7 +43,8 @@
         names = [self.journal.name, f"{self.journal.name}.new"]
         if self._lock is not None:
             names += [f"board.{self.number}", f"lock.{self.number}"]
-        for name in names:
+        names += [path.name for path in self._folder.glob(f"handed.{self.number}.*")]
+        for name in sorted(names, key=lambda name: name.startswith("lock")):
             (self._folder / name).unlink(missing_ok=True)
         self.keep()
 
@@ -94,6 +96,13 @@
         if (self._folder / ALONE).exists():
             yield Left(self._folder, 0, None)
 
+    def spare(self) -> tuple[int, int]:
+        """A further number and its lock, for what is handed over: to let go of the lock leaves it as a dead one's."""
+        number = max(numbered(self._folder)) + 1
+        while (lock := self._claim(number)) is None:
+            number += 1
+        return number, lock
+
     def look(self) -> tuple[list[int], list[Left]]:
         """The others that are alive, and what is left of those that are not, the newest first."""
         alive, left = [], []
--- a/linkdock/state/table.py
+++ b/linkdock/state/table.py
@@ -79,17 +79,23 @@
         """A server's answer asked for quiet until then; what that binds."""
         route = self._route(row)
         self.wait(route, until)
-        if self.heard is not None:
-            self.heard(route, until)
         return route
 
     def wait(self, route: tuple, until: float) -> None:
-        self._waits[route] = max(until, self._waits.get(route, -inf))
+        if until <= self._waits.get(route, -inf):
+            return
+        self._waits[route] = until
+        if self.heard is not None:
+            self.heard(route, until)
         if len(self._waits) > self._most_waits:
             now = self._clock()
             self._waits = {r: u for r, u in self._waits.items() if u > now}
             self._most_waits = max(MOST_WAITS, 2 * len(self._waits))
 
+    def in_force(self, now: float) -> list[tuple[tuple, float]]:
+        """The waits that are not over: what each binds, and until when."""
+        return [(route, until) for route, until in self._waits.items() if until > now]
+
     def waits(self, name: str, now: float) -> float:
         """For how many seconds from now nothing may be sent to this server because of a wait."""
         row = self.roster.row(name)
--- a/tests/succession_child.py
+++ b/tests/succession_child.py
@@ -1,6 +1,8 @@
-"""One process of a sender that takes up what two dead ones left, ended by SIGKILL's like at the n-th step.
+"""One process of a sender that takes up what dead ones left, ended by SIGKILL's like at the n-th step.
 
-    python succession_child.py FOLDER POINT
+    python succession_child.py FOLDER POINT [ID...]
+
+With ids it hands those over afterwards, and the steps are counted from there.
 
 Points are the writes, replacements and removals of files, before each, in the middle of a write, and after.
 """
@@ -50,6 +52,15 @@
         return {"write": faulty_write, "replace": faulty_replace}.get(name) or getattr(os, name)
 
 
-journals.os = FaultyOs()
-Path.unlink = faulty_unlink
-shift.Shift(SimpleNamespace(state=FOLDER, disk_mb=3.0), lambda: 0.0)
+def faults():
+    journals.os = FaultyOs()
+    Path.unlink = faulty_unlink
+
+
+if not sys.argv[3:]:
+    faults()
+process = shift.Shift(SimpleNamespace(state=FOLDER, disk_mb=3.0), lambda: 0.0)
+if sys.argv[3:]:
+    faults()
+    assert process.hand_over(sys.argv[3:])
+    point()   # before the lock of what was handed over would be let go of with the process
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -23,8 +23,9 @@
 from linkdock.state.board import PLACES, Board, Fact, Reader
 from linkdock.state.journal import Journal, Kept, owed
 from linkdock.state.succession import Succession, numbered
+from linkdock.state.table import ServerTable
 
-CONFIG = {"disk_mb": 3.0}
+CONFIG = {"disk_mb": 3.0, "settings": SimpleNamespace(slots=4, max_open=9)}
 
 
 def kept(name, **more):
@@ -90,22 +91,58 @@
     older.close()
     newer.close()
     (origin / "journal").write_bytes(b"")
+    assert killed_at_each_step(tmp_path, origin, {"a": {0}, "b": set(), "c": set()}) > 15
+
+
+def killed_at_each_step(tmp_path, origin, owed_then, *arguments):
+    """What the next process owes, wherever the child was killed; how many steps there were."""
     child = [sys.executable, str(Path(__file__).with_name("succession_child.py"))]
     env = {**os.environ, "PYTHONPATH": str(ROOT)}
     for point in range(1, 60):
-        folder = tmp_path / str(point)
+        folder = tmp_path / f"at{point}"
         shutil.copytree(origin, folder)
-        code = subprocess.run([*child, str(folder), str(point)], env=env).returncode
+        code = subprocess.run([*child, str(folder), str(point), *arguments], env=env).returncode
         after = shift(folder)
-        assert {k.id: k.doubt for k in after.journal.kept.values()} == {"a": {0}, "b": set(), "c": set()}, point
-        assert numbered(folder) == [after._succession.number]
+        assert {k.id: k.doubt for k in after.journal.kept.values()} == owed_then, point
+        assert numbered(folder) == [after._succession.number] and not list(folder.glob("handed.*"))
         after.close()
         if code == 0:
-            assert point > 15
-            return
+            return point
+        assert code == 9
     raise AssertionError("the child never came to its end")
 
 
+def test_a_kill_at_any_step_of_handing_over_loses_and_doubles_nothing(tmp_path):
+    origin = tmp_path / "origin"
+    origin.mkdir()
+    first = shift(origin)
+    for name in ("a", "b", "c"):
+        first.journal.take(kept(name))
+    first.journal.sent("b", 0)
+    first.close()
+    assert killed_at_each_step(tmp_path, origin, {"a": set(), "b": {0}, "c": set()}, "a", "c") == 8
+
+
+def test_what_was_handed_over_is_the_others_alone(tmp_path):
+    old, new = shift(tmp_path), shift(tmp_path)
+    for name in ("a", "b"):
+        old.journal.take(kept(name))
+    assert old.hand_over(["a"]) and set(old.journal.kept) == {"b"}
+    alive, left = new._succession.look()
+    assert alive == [1] and set(owed(left[0].journal)) == {"a"} == {k.id for k in new._take_up(left)}
+    old.journal.end("b")
+    old.look()   # it would find its own
+    old.close()
+    again = new._succession.look()[1]
+    assert [owed(one.journal) for one in again] == [{}]
+    (tmp_path / "full").mkdir()
+    full = shift(tmp_path / "full")
+    full.journal.take(kept("c"))
+    full.journal._append = lambda data: False   # no room for the record: all stays
+    assert not full.hand_over(["c"]) and set(full.journal.kept) == {"c"}
+    full.close()
+
+
 def test_what_is_adopted_beyond_the_bounds_keeps_room_for_its_ends(tmp_path):
     journal = Journal(tmp_path, 100_000, "journal.2")
     journal.hold_at_most(0.2, 0.1)
@@ -233,6 +270,29 @@
     assert not any(owed(path) for path in both.folder.glob("journal.*"))
 
 
+def test_what_waits_goes_to_the_new_one_at_once_and_the_old_one_need_not_stay(pair):
+    server = Backend("s1")
+    both = pair([server])
+    old = both.start()
+    assert call(old, "maint-on s1").startswith("+OK")
+    for n in range(3):
+        assert both.client().enqueue(f"ab0{n}", cls="order", d=16000) == "+OK"
+    new = both.start()
+    new.logged("beside")
+    old.logged("listens on")
+    call(new, "stats")
+    time.sleep(0.15)   # longer than the time between two looks of the old one for who has come
+    began = time.monotonic()
+    old.terminate()
+    assert old.wait() == 0 and time.monotonic() - began < 1.5
+    eventually(lambda: figures(new)["edge_relay_open_requests"] == 3)
+    served = Serving(server)
+    call(new, "maint-off s1")
+    eventually(lambda: figures(new)["edge_relay_open_requests"] == 0)
+    assert sorted(served.seen.queue) == [f"ab0{n}" for n in range(3)]
+    assert figures(new)['edge_relay_operations{priority="order",status="fulfilled"}'] == 3
+
+
 @pytest.mark.parametrize("steps", [
     "old start_new kill_new", "old start_new kill_old", "old start_new term_old kill_old",
     "old start_new term_old kill_new start_next", "old start_new kill_old kill_new start_new",
@@ -305,6 +365,52 @@
     old.kill()
 
 
+def test_a_wait_told_to_the_first_binds_a_third_that_comes_when_it_has_ended(pair):
+    server = Backend("s1")
+    both = pair([server])
+    first = both.start()
+    assert both.client().enqueue("ca01") == "+OK"
+    line, _ = server.take()
+    line.answer(429, Retry_After="4.000")
+    told = time.monotonic()
+    eventually(lambda: figures(first)["edge_relay_relayed"] == 1 and figures(first)["edge_relay_open_requests"] == 1)
+    second = both.start()
+    time.sleep(0.15)   # longer than the time between two looks for who has come
+    first.terminate()
+    assert first.wait() == 0
+    third = both.start()
+    time.sleep(0.15)
+    second.terminate()
+    assert second.wait() == 0
+    assert both.client().enqueue("ca02") == "+OK"
+    while server.take()[1] is None:   # a connection that was opened before the wait was seen
+        pass
+    assert time.monotonic() - told > 3.9
+    third.kill()
+
+
+def test_what_is_told_on_goes_round_once(tmp_path):
+    processes = [shift(tmp_path) for _ in range(3)]
+    heard = [[] for _ in processes]
+    for process, doubted in zip(processes, heard, strict=True):
+        table = ServerTable([False])
+        process.join(SimpleNamespace(calls_out=lambda: 0, open=lambda: 0, doubted=doubted.append,
+                                     hold_at_most=lambda most: None),
+                     SimpleNamespace(hold_slots=lambda slots: None), table, None)
+    for process in processes:
+        process.look()
+    processes[0].health("s-1", "suspect")
+    processes[0]._table.wait((7,), 9.0)
+    for _ in range(4):
+        for process in processes:
+            process.beat()
+    assert [len(told) for told in heard] == [0, 1, 2]   # the third from the first, and from the second
+    assert [process._table._waits for process in processes] == [{(7,): 9.0}] * 3
+    assert sum(process._board._written[notes.HEALTH] for process in processes) <= 4
+    for process in processes:
+        process.close()
+
+
 def test_what_the_old_one_saw_fail_gets_one_trial_from_the_new_one(pair):
     server = Backend("s1")
     both = pair([server])
@@ -353,6 +459,7 @@
         assert both.client().enqueue(f"ff0{n}", cls="order") == "+OK"
         lines.append(server.take())
     both.start().logged("beside")
+    time.sleep(0.15)   # longer than the time between two looks of the old one for who has come
     said = [both.client().enqueue(f"fg0{n}", cls="order") for n in range(12)]
     server.sock.settimeout(0.5)
     with contextlib.suppress(TimeoutError):
