--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -9,6 +9,7 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
+from itertools import islice
 from math import inf
 from typing import NamedTuple
 
@@ -135,6 +136,16 @@
     state: str = ""
 
 
+class Learned(NamedTuple):
+    """What a process knows of one server; times are of the machine's monotonic clock."""
+
+    server: str
+    limit: float
+    part: float
+    ramp: float | None    # since when it comes back, cold
+    since: float | None   # and since when it had been out
+
+
 @dataclass(slots=True)
 class _Known:
     """A request that the decisions still know: by number there, by id here."""
@@ -276,6 +287,29 @@
         if self._relay.s.slots != max(1, slots):
             self._relay.s = replace(self._settings, slots=max(1, slots))
 
+    def learned(self, most: int) -> list[Learned]:
+        """What another process of this sender should know of servers: limits, paces, and returns that are not over."""
+        known = (Learned(link.host, link.route.limit, link.route.part, link.ramp, link.since)
+                 for dest in self._relay.dests.values() for link in dest.links
+                 if link.route.limit or link.ramp is not None)
+        return list(islice(known, most))
+
+    def told(self, learned: Iterable[Learned]) -> None:
+        """What an older process has learned. What this one has seen by itself holds; a report overrides a limit."""
+        for one in learned:
+            link = self._relay.links.get(one.server)
+            if link is None or link.calls or max(link.last_ok, link.failed_at) > -inf:
+                continue
+            route = link.route
+            if one.limit and not route.limit:
+                route.limit, route.part = one.limit, min(1.0, one.part)
+            if one.ramp is not None:
+                # Its return goes on where it was: neither a trial anew, nor what a warm one can take.
+                link.down_at, link.fails, link.bad = None, 0, 0.0
+                self._relay.down.pop(link, None)
+                link.ramp, link.since = one.ramp, one.since if one.since is not None else one.ramp
+                link.tokens, link.tokens_at = 0.0, self._relay.now
+
     def stopped(self) -> list[str]:
         """The servers that the decisions avoid by choice."""
         return [link.host for link in self._relay.down]
--- a/linkdock/lab/fleet.py
+++ b/linkdock/lab/fleet.py
@@ -1,8 +1,8 @@
 """The experiment of a fleet: what two hundred senders that see little traffic each do to one member together.
 
-Question: does a member that all saw fail get less than it can take when it comes back cold, does one that halves its limit
-get its due, and does a restart of most senders with messages held change that? Every sender is the decisions alone, on
-one clock; members keep the account that the fail-back rule asks for.
+Question: does a member that all saw fail get less than it can take when it comes back cold, does one that halves its
+limit get its due, and does a restart of most senders with messages held change that? Every sender is the decisions
+alone, on one clock; members keep the account that the fail-back rule asks for.
 """
 
 from __future__ import annotations
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -45,6 +45,7 @@
 TIDY_EVERY = 5.0        # seconds between looks for what the server table may forget
 LOOK_EVERY = 0.05       # seconds between looks whether it could leave before:
 SIBLING_EVERY = 0.05    # and between looks for the sender's other processes
+MOST_IDLE = 1.0         # seconds without a beat at the most
 LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
 
 
@@ -55,7 +56,7 @@
         self._loop = asyncio.get_running_loop()
         self._tasks: set[asyncio.Task] = set()
         self._failed: BaseException | None = None
-        self._stopping = False
+        self._stopping = self._ended = False
         self._relieved = False   # while stopping: whether another process of this sender takes clients
         self._stop = asyncio.Event()
         self._due, self._hold = self._loop.time(), 0.0   # of the next beat; the latest that one came
@@ -101,8 +102,9 @@
             self._operations.count(self.sender)
         if self._shift is not None:
             self._shift.join(self.sender, facade, table, self._operations)
-            self._look()
         self.sender.restore()
+        if self._shift is not None:
+            self._look()   # Danger: what is taken up from now on must not be restored once more
         if self._undeliverable is not None:
             self._undeliverable.start(self.sender.resend)
         self.spawn(self._notices.run())
@@ -263,7 +265,12 @@
         due = min(self._facade.next_due(), self._wheel.next_due())
         if self._shift is not None and self._shift.beside:
             due = now   # what the other one tells comes at any time
-        # Danger: beats without end. Whatever is due, the next tick is the first to see to it.
+        if self._ended:
+            return
+        # Danger: beats without end: whatever is due, the next tick is the first to see to it. And none at all, by a
+        # time that is no number.
+        if not due < now + MOST_IDLE:
+            due = now + MOST_IDLE
         self._due = max(due, now + self._wheel.tick)
         self._next = self._loop.call_at(self._due, self._beat)
 
@@ -301,11 +308,12 @@
         if self._observer is not None:
             self._observer.stopping()
         self.sender.stop_unsafe(self._loop.time() + NO_UNSAFE_AFTER)
-        relieved = self._shift is not None and self._shift.relieved()
         if self._shift is not None:
+            # Danger: the other one said its yes just now, and this process has not looked since.
+            self._shift.look()
+            self._relieved = self._shift.relieved()
             self._shift.leaving()
-        if relieved:
-            self._relieved = True
+        if self._relieved:
             self._stop_accepting()   # what comes from now on is the other's, who reads the same socket
         else:
             self._wheel.after(ACCEPT_FOR, self._stop_accepting)
@@ -332,6 +340,10 @@
         self._loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)   # by default it would end the process
         log.info("the longest hold of the loop: %.1f ms", 1000 * self._hold)
+        # Danger: a beat after the journal is closed and its lock let go of. What it sent, the next one would send too.
+        self._ended = True
+        if self._next is not None:
+            self._next.cancel()
         self.frontend.close()
         if self._operations is not None:
             self._operations.close()
--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import os
 from collections.abc import Callable
+from math import inf
 from typing import TYPE_CHECKING
 
-from ..facade import Facade
+from ..facade import Facade, Learned
 from ..sender import Sender
 from ..state import board as notes
 from ..state.board import Board, Fact, Reader
@@ -28,9 +30,9 @@
 
 # Parts of the folder for the journal's file and for what is owed. Danger: two files, the new one of a rewrite, and what
 # a survivor takes over must fit together.
-ALONE_PARTS, ELDER_PARTS, YOUNGER_PARTS = (0.40, 0.25), (0.40, 0.25), (0.20, 0.10)
-# Of the descriptors for connections to backend servers while two live; each may hold as many clients as are usual.
-SHARED_BACKENDS = 8
+ALONE_PARTS, ELDER_PARTS, YOUNGER_PARTS = (0.40, 0.25), (0.40, 0.25), (0.30, 0.20)
+# Servers of which a newer process is told what was learned.
+MOST_LEARNED = 2000
 
 
 class Shift:
@@ -43,7 +45,8 @@
         self._board = Board(self._succession.board(self._succession.number))
         self._others: dict[int, Reader | None] = {}
         self._state = notes.STARTING
-        self._handed = False
+        self._handed, self._batches = False, 0
+        self._learned_from: int | None = None
         self.share: Callable[[bool], None] = lambda alive: None   # to be called when another comes or goes
         self._sender: Sender
         self._facade: Facade
@@ -75,6 +78,10 @@
             self.share(bool(alive))
             if not alive:
                 self._together(0, 0)
+        for number, reader in self._others.items():
+            if reader is not None:
+                self._hear(number, reader)
+        self._learn()
         if left:
             self._sender.take_up(self._take_up(left))
         if self._others and self._operations is not None:
@@ -135,15 +142,17 @@
         except OSError as bad:
             log.error("nothing is handed over: %s", bad)
             return False
-        folder = self._config.state
+        folder, self._batches = self._config.state, self._batches + 1
+        # Danger: a number that is used again. A record of an earlier batch would be read as one of this.
+        beside = folder / f"handed.{self._succession.number}.{self._batches}"
         try:
-            self._handed = self.journal.hand_over(
-                requests, folder / f"handed.{self._succession.number}.{number}", folder / f"journal.{number}")
+            done = self.journal.hand_over(requests, beside, folder / f"journal.{number}")
         finally:
             os.close(lock)
-        if self._handed:
+        if done:
+            self._handed = True
             log.info("%d messages are handed over", len(requests))
-        return self._handed
+        return done
 
     def relieved(self) -> bool:
         """Whether another process takes clients, so that this one need not any more."""
@@ -198,9 +207,34 @@
 
     def _tell_again(self) -> None:
         """Somebody has come. Danger: many short waits may have pushed a long one out of the ring."""
-        if self._table is not None:
-            for route, until in self._table.in_force(self._clock()):
-                self._wait_told(route, until)
+        if self._table is None:
+            return   # this process has just come itself
+        for route, until in self._table.in_force(self._clock()):
+            self._wait_told(route, until)
+        path = self._succession.learned(self._succession.number)
+        beside = path.with_name(f"{path.name}.new")
+        try:
+            beside.write_text(json.dumps([one._replace(since=one.since if one.since != -inf else None)
+                                          for one in self._facade.learned(MOST_LEARNED)]))
+            os.replace(beside, path)
+        except OSError as bad:
+            log.warning("what was learned is not told: %s", bad)
+
+    def _learn(self) -> None:
+        """What the newest older process has learned, as soon as it has told. Without it all is learned anew."""
+        older = max((number for number in self._others if number < self._succession.number), default=0)
+        if self._learned_from is not None or not older:
+            return
+        try:
+            rows = [Learned(*row) for row in json.loads(self._succession.learned(older).read_bytes())]
+            self._facade.told(rows)
+        except FileNotFoundError:
+            return
+        except (OSError, ValueError, TypeError) as bad:
+            log.warning("what process %d has learned cannot be read: %s", older, bad)
+        else:
+            log.info("%d servers are known from process %d", len(rows), older)
+        self._learned_from = older
 
     def _together(self, calls: int, opened: int) -> None:
         """The others have so many calls out and messages open: the rest is ours."""
--- a/linkdock/state/succession.py
+++ b/linkdock/state/succession.py
@@ -6,8 +6,8 @@
 
 Only the holder of a lock touches the files of its number. When a process ends, however it ends, its lock falls;
 whoever gets the lock then owns what was left. A process that leaves hands over what waits in the same way, under a
-further number (`handed.7.8` until it is whole). `journal` without a number is the file of a process that runs alone, and
-is taken up by a start as if it were the oldest.
+further number (`handed.7.8` until it is whole). `learned.7` is what it tells a newer one of servers. `journal` without
+a number is the file of a process that runs alone, and is taken up by a start as if it were the oldest.
 
 Danger: a kill at any step. What was left goes into the survivor's own journal first, as a whole, then the old files go,
 and only then is anything done about it. A kill before the old files are gone leaves some messages in both journals,
@@ -42,7 +42,8 @@
         """The lock goes last: as long as it is there, what else is left is known to be."""
         names = [self.journal.name, f"{self.journal.name}.new"]
         if self._lock is not None:
-            names += [f"board.{self.number}", f"lock.{self.number}"]
+            names += [f"board.{self.number}", f"learned.{self.number}", f"learned.{self.number}.new",
+                      f"lock.{self.number}"]
         names += [path.name for path in self._folder.glob(f"handed.{self.number}.*")]
         for name in sorted(names, key=lambda name: name.startswith("lock")):
             (self._folder / name).unlink(missing_ok=True)
@@ -91,6 +92,9 @@
     def board(self, number: int) -> Path:
         return self._folder / f"board.{number}"
 
+    def learned(self, number: int) -> Path:
+        return self._folder / f"learned.{number}"
+
     def alone(self) -> Iterator[Left]:
         """What a process without a number left. Asked at the start alone."""
         if (self._folder / ALONE).exists():
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -16,8 +16,10 @@
 
 import pytest
 from peers import ROOT, Backend, Client, Discovery, Program, settings
-from test_operations import call, eventually, figures
+from test_operations import call, eventually, figures, ops
 
+from linkdock import facade
+from linkdock import interface as i
 from linkdock.service.shift import Shift
 from linkdock.state import board as notes
 from linkdock.state.board import PLACES, Board, Fact, Reader
@@ -396,7 +398,8 @@
         table = ServerTable([False])
         process.join(SimpleNamespace(calls_out=lambda: 0, open=lambda: 0, doubted=doubted.append,
                                      hold_at_most=lambda most: None),
-                     SimpleNamespace(hold_slots=lambda slots: None), table, None)
+                     SimpleNamespace(hold_slots=lambda slots: None, learned=lambda most: [], told=lambda rows: None),
+                     table, None)
     for process in processes:
         process.look()
     processes[0].health("s-1", "suspect")
@@ -411,6 +414,61 @@
         process.close()
 
 
+def one_with_a_server(now):
+    decisions = facade.Facade(i.Settings(
+        classes=[i.MessageClass(i.Effect.SAFE, 0.8, 6.0)], kinds=[i.DestinationKind()], slots=8, max_open=50,
+        max_attempts=9, fall_multiple=1.5, tip_after=2.0, cold_share=0.3, cold_time=12.0, told_weights=False), 1)
+    decisions.report(facade.Table("whole", [facade.Server("s1", ("127.0.0.1", 1), 7)], 1))
+    decisions.tick(now)
+    return decisions
+
+
+def sent(decisions, now, *names):
+    for name in names:
+        decisions.report(facade.Take(name, 0, 7, 6.0))
+    decisions.tick(now)
+    return [item for order in iter(decisions.pick, None) if isinstance(order, facade.Dispatch) for item in order.items]
+
+
+def test_limits_and_returns_are_told_and_what_one_has_seen_itself_holds():
+    old, new = one_with_a_server(100.0), one_with_a_server(100.0)
+    (item,) = sent(old, 100.1, "a")
+    old.report(facade.End("a", item.attempt, "s1", facade.DELIVERED, 0.1, load=(0.9, 20.0)))
+    old.tick(100.2)
+    (learned,) = old.learned(9)
+    assert learned == facade.Learned("s1", 20.0, learned.part, None, learned.since) and old.learned(0) == []
+    new.told([learned._replace(ramp=99.0, since=90.0), learned._replace(server="s9")])
+    assert new.learned(9) == [learned._replace(ramp=99.0, since=90.0, part=1.0)]
+    first = sent(new, 100.3, *"bcdefghi")
+    assert len(first) <= 1   # the return goes on: eight at once to one that is not known
+    assert len(sent(one_with_a_server(100.0), 100.3, *"bcdefghi")) >= 2
+    item = first[0] if first else sent(new, 104.0)[0]
+    new.report(facade.End(item.request, item.attempt, "s1", facade.DELIVERED, 0.1, load=(0.9, 30.0)))
+    new.tick(104.5)
+    new.told([learned])
+    assert new.learned(9)[0].limit == 30.0
+
+
+def test_a_newer_process_is_told_what_was_learned_and_a_file_that_cannot_be_read_is_passed_over(pair):
+    server = Backend("s1")
+    both = pair([server])
+    old = both.start()
+    assert both.client().enqueue("ea01") == "+OK"
+    line, _ = server.take()
+    line.answer(200, Endpoint_Load_Metrics="x0=0.9,x1=25")
+    eventually(lambda: ops(figures(old), "preview", "fulfilled") == 1)
+    new = both.start()
+    new.logged("1 servers are known from process 1")
+    old.kill()
+    third = both.start()
+    third.logged("1 servers are known from process 2")
+    assert not (both.folder / "learned.1").exists()
+    third.kill()
+    new.process.send_signal(signal.SIGSTOP)   # it would write its own anew
+    (both.folder / "learned.2").write_text("[[")
+    both.start().logged("what process 2 has learned cannot be read")
+
+
 def test_what_the_old_one_saw_fail_gets_one_trial_from_the_new_one(pair):
     server = Backend("s1")
     both = pair([server])
