Hear operators to the end of a process that leaves, and let no failed look keep it from SIGTERM

Found by reading the change: once it had handed over what waits, the old process of an upgrade left `Shift.look` before it read who is out by hand, so that for up to 3.4 s a message that came back from a call could have gone to an endpoint taken out at the new one. And a look that finds no descriptor would have ended `Process.stop` before it closed anything.

--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -70,9 +70,15 @@
 
     def look(self) -> None:
         """Every now and then: who has come, who has gone, and what the dead left."""
+        if self._others and self._operations is not None:
+            self._operations.heard()   # until the end: what it still tries again must not go to what is out by hand
         if self._handed:
             return   # Danger: what was handed over would be taken up again
-        alive, left = self._succession.look()
+        try:
+            alive, left = self._succession.look()
+        except OSError as bad:   # no descriptor for the look: it is made again, and SIGTERM must go on without it
+            log.warning("who else lives is not known: %s", bad)
+            return
         if alive != list(self._others) or None in self._others.values():
             self._meet(alive)
             self.share(bool(alive))
@@ -84,8 +90,6 @@
         self._learn()
         if left:
             self._sender.take_up(self._take_up(left))
-        if self._others and self._operations is not None:
-            self._operations.heard()
 
     def _meet(self, alive: list[int]) -> None:
         for number in [n for n in self._others if n not in alive]:
