--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -11,15 +11,15 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..facade import Server
+from ..state.asking import Asking
 from ..state.roster import Roster
-from ..state.wheel import Wheel
+from ..state.wheel import Timer, Wheel
 from . import http
 from .listing import ListReader, Rows
 
 log = logging.getLogger(__name__)
 
 SILENCE = 2.8    # an empty line comes every 2 s; without any the watch is dead, whatever TCP thinks
-PAUSE = 0.2      # before it is opened again
 # Bytes that are read between two turns of the loop: some 16 rows. Danger: the parts of an index fill evenly and so grow
 # nearly together; a row costs 20 µs mostly, and ten times that then.
 PIECE = 2 * 1024
@@ -132,16 +132,20 @@
 class Watch:
     """Keeps one watch open and hands its news on. `version` tells from where to go on."""
 
-    def __init__(self, dial: tuple[str, int], wheel: Wheel, pause: Callable, zones: list[str], kinds: list[str],
+    def __init__(self, dial: tuple[str, int], wheel: Wheel, asking: Asking, zones: list[str], kinds: list[str],
                  version: Callable[[], int], desk: Desk, most_list: int) -> None:
-        self._dial, self._wheel, self._pause = dial, wheel, pause
+        self._dial, self._wheel, self._asking = dial, wheel, asking
         self._zones, self._kinds, self._version = zones, kinds, version
         self._desk, self._most_list = desk, most_list
         self._stream: IOStream | None = None
-        self._closed = False
+        self._served = self._moved = self._closed = False
+        self._resting: Timer | None = None   # until the next ask
+        self._rested = asyncio.Event()
 
     async def run(self) -> None:
+        await self._rest(self._asking.first())
         while not self._closed:
+            self._served = False
             try:
                 await self._watch()
             except (StreamClosedError, OSError, http.BadAnswer, ValueError) as bad:
@@ -152,7 +156,15 @@
             finally:
                 if self._stream is not None:   # else there was no descriptor for it
                     self._stream.close()
-            await self._pause(PAUSE)
+            await self._rest(self._asking.moved() if self._moved else self._asking.again(self._served))
+
+    async def _rest(self, seconds: float) -> None:
+        """Ask nothing for so long, or until discovery has another address."""
+        self._moved = False
+        self._rested.clear()
+        self._resting = self._wheel.after(seconds, self._rested.set)
+        await self._rested.wait()
+        self._resting = None
 
     async def _watch(self) -> None:
         self._stream = stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM),
@@ -173,6 +185,7 @@
                     if isinstance(part, http.Head) and part.status != 200:
                         raise http.BadAnswer(f"status {part.status}")
                     if isinstance(part, http.Body):
+                        self._served = True
                         self._take(staging, reader, part.data)
                 # Danger: a long list that has all come in. Without a turn for others no tick runs until its end.
                 await asyncio.sleep(0)
@@ -189,6 +202,11 @@
     def move(self, dial: tuple[str, int]) -> None:
         """Discovery has another address: the watch goes on there, from the version that is known."""
         self._dial = dial
+        if self._resting is not None:
+            self._resting.cancel()
+            self._resting = self._wheel.after(self._asking.moved(), self._rested.set)
+            return
+        self._moved = True
         if self._stream is not None:
             self._stream.close()   # `run` opens it again
 
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -41,6 +41,7 @@
     kinds: list[str]
     fields: list[str]
     admin: tuple[str, int] | None = None   # the operators' address
+    paid_news: bool = False                # discovery's news must be asked for, and each ask costs
     accept_fd: int | None = None           # the clients' listening socket, where it is inherited
 
     @property
@@ -206,7 +207,8 @@
         class_names=[c.get("name", str) for c in settings.parts("grades")],
         zones=settings.get("zones", list, []), kinds=settings.get("machine-types", list, []),
         fields=settings.part("report", {}).get("fields", list, []),
-        admin=top.address("admin_addr") if top.has("admin_addr") else None)
+        admin=top.address("admin_addr") if top.has("admin_addr") else None,
+        paid_news=settings.get("discovery", str, "") == "subscribe")
 
 
 def _settings(told: _Reader) -> Settings:
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -21,6 +21,7 @@
 from ..protocol.listening import inherited
 from ..protocol.notices import Notices
 from ..sender import Sender
+from ..state.asking import Asking
 from ..state.journal import Journal
 from ..state.table import ServerTable
 from ..state.wheel import Wheel
@@ -92,7 +93,8 @@
         self.sender.backend.kept = kept
         self._notices = self.sender.notices = Notices(config.discovery, self._wheel, self._wheel.pause,
                                                       self.sender.confirmed)
-        self._watch = Watch(config.discovery, self._wheel, self._wheel.pause, config.zones, config.kinds,
+        asking = Asking(config.paid_news, settings.relays, settings.ask_within, config.seed)
+        self._watch = Watch(config.discovery, self._wheel, asking, config.zones, config.kinds,
                             lambda: table.version, self.sender, config.most_list)
         self._observer = self._records(config)
         for part in (self.sender, self.sender.backend, self._notices):
--- /dev/null
+++ b/linkdock/state/asking.py
@@ -0,0 +1,51 @@
+"""When discovery is asked for its news: not in step with the rest of the fleet, and later after each refusal.
+
+Free of I/O. Where the platform says that news must be asked for, each ask costs discovery work, and it serves only so
+many a second; elsewhere an agent on the sender's own machine answers at once and for nothing.
+"""
+
+from __future__ import annotations
+
+from random import Random
+
+AGENT = 0.2         # seconds between asks of the agent
+EACH = 0.08         # seconds that each sender adds to the span of the first asks: 40 over 2.5 s had 12 turned away
+FIRST = 1 / 8       # first pause after a refusal, in told periods; it doubles
+MOST = 1 / 2        # up to this, which by chance half to one and a half times stays inside the period
+MOVED = 2.0         # seconds at the most after a change of address, of the 4 within which its news counts as told
+
+
+class Asking:
+    """The pauses of one sender's watch, by chance from its seed.
+
+    Danger: a fleet that starts together, or whose watches break together, asks together. Discovery turns most away,
+    asks that it turned away cost it as much, and at an even pace nobody is served any more. Hurts by a list that is
+    as old as the span is long.
+    """
+
+    def __init__(self, paid: bool, senders: int, within: float, seed: int) -> None:
+        """`paid`: each ask costs, and news must be asked for `within` so many seconds."""
+        self._paid, self._within = paid, within
+        self._random = Random(seed + 2)   # the decisions draw from the two before
+        self._span = min(senders * EACH, MOST * within)
+        self._refused = 0   # on end
+
+    def first(self) -> float:
+        """Until the first ask of a life."""
+        return self._random.uniform(0.0, self._span) if self._paid else 0.0
+
+    def again(self, served: bool) -> float:
+        """Until the next ask after one that ended; `served`: it had brought news."""
+        if not self._paid:
+            return AGENT
+        if served:
+            self._refused = 0
+            return AGENT + self.first()
+        pause = min(MOST, FIRST * 2 ** min(self._refused, 8)) * self._within
+        self._refused += 1
+        return pause * self._random.uniform(0.5, 1.5)
+
+    def moved(self) -> float:
+        """Until the first ask at another address, which all of the fleet are told of at once."""
+        self._refused = 0
+        return min(self.first(), self._random.uniform(0.0, MOVED))
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -120,6 +120,8 @@
         line.sock.settimeout(None)
         while (call := line.call()) is not None:
             if call[0].startswith("GET"):
+                if not self._watched(line):
+                    continue
                 line.sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 self.watches.put((call[0], line))
                 continue
@@ -129,6 +131,10 @@
             if reply:
                 line.answer(reply)
 
+    def _watched(self, line):
+        """Whether a watch is served; one that is not has had its answer."""
+        return True
+
     def notice(self):
         return self.notices.get(timeout=PATIENCE)[1]
 
@@ -168,7 +174,7 @@
     """The real program as its own process, with a folder that lasts."""
 
     def __init__(self, folder, backends, discovery=None, limits=None, deploy=None, admin=None, accept=None, state=None,
-                 **more):
+                 news="automatic", **more):
         self.discovery = discovery or Discovery()
         self.deploy = folder / "deploy"   # what is switched on: a file's name and its settings
         self.deploy.mkdir(exist_ok=True)
@@ -180,7 +186,7 @@
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.dial, "seed": "8c1f30d2",
                   "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3, **(limits or {})},
                   "known": {"seq": 7, "whole": True, "hosts": [b.row() for b in backends]},
-                  "settings": settings(**more)}
+                  "settings": {**settings(**more), "discovery": news}}
         if admin is not None:
             config["admin_addr"] = admin
         self.config = folder / "config.json"
--- /dev/null
+++ b/tests/test_asking.py
@@ -0,0 +1,102 @@
+"""When discovery is asked: over the fleet's span at first, less often after refusals, at once for an agent."""
+
+import time
+
+import pytest
+from peers import Backend, Discovery, Program
+
+from linkdock.state.asking import AGENT, MOVED, Asking
+
+WITHIN = 10.0
+
+
+@pytest.fixture
+def start(tmp_path):
+    programs = []
+
+    def begin(backends, **more):
+        programs.append(Program(tmp_path, backends, **more))
+        return programs[-1]
+    yield begin
+    for program in programs:
+        program.close()
+
+
+def fleet(senders, paid=True):
+    return [Asking(paid, senders, WITHIN, seed=n) for n in range(senders)]
+
+
+def most_in(times, span):
+    return max(sum(t <= one < t + span for one in times) for t in times)
+
+
+@pytest.mark.parametrize("senders", [3, 40, 200])
+def test_a_fleet_that_starts_together_spreads_its_first_asks_within_half_the_period(senders):
+    first = [asking.first() for asking in fleet(senders)]
+    span = min(0.08 * senders, WITHIN / 2)
+    assert 0 <= min(first) and max(first) <= span
+    assert most_in(first, span / 10) <= max(3, 0.25 * senders)   # a tenth of the span, and no crowd in it
+
+
+def test_refusals_on_end_are_met_with_growing_pauses_that_differ_and_stay_bounded():
+    senders = fleet(40)
+    rounds = [[asking.again(served=False) for asking in senders] for _ in range(6)]
+    for pauses, base in zip(rounds, (1.25, 2.5, 5.0, 5.0, 5.0, 5.0), strict=True):
+        assert 0.5 * base <= min(pauses) and max(pauses) <= 1.5 * base
+        assert most_in(pauses, base / 10) < 0.4 * len(senders)   # they do not come back in step
+    assert rounds[0] == [asking.again(served=False) for asking in fleet(40)]   # by the seed alone
+
+
+def test_news_that_came_ends_the_backing_off_and_a_common_break_is_spread_again():
+    senders = fleet(40)
+    for asking in senders:
+        for _ in range(5):
+            asking.again(served=False)
+    after = [asking.again(served=True) for asking in senders]
+    assert AGENT <= min(after) and max(after) <= AGENT + 3.2 and most_in(after, 0.32) < 16
+    assert max(asking.again(served=False) for asking in senders) <= 1.5 * 1.25
+    assert max(asking.moved() for asking in senders) <= MOVED
+
+
+def test_an_agent_is_asked_at_once_and_at_an_even_pace():
+    asking = Asking(False, 200, WITHIN, 1)
+    assert (asking.first(), asking.moved()) == (0.0, 0.0)
+    assert [asking.again(served) for served in (False, False, True)] == [AGENT] * 3
+
+
+class Overbooked(Discovery):
+    """Turns so many watches away before it serves one."""
+
+    def __init__(self, refusals):
+        self.refusals, self.asked = refusals, []
+        super().__init__()
+
+    def _watched(self, line):
+        self.asked.append(time.monotonic())
+        if len(self.asked) > self.refusals:
+            return True
+        line.answer(503)
+        return False
+
+
+def test_discovery_that_turns_callers_away_is_asked_less_often_and_its_news_is_taken_then(start):
+    old, new, discovery = Backend("s1"), Backend("s2"), Overbooked(3)
+    program = start([old], discovery=discovery, news="subscribe", rules__ask_within=0.8)
+    assert program.client().enqueue("aa01") == "+OK"   # the known list serves meanwhile
+    old.take()[0].answer(200)
+    first, tell = discovery.watch()
+    assert "from=7" in first
+    tell(9, [old.row("gone"), new.row()])
+    gaps = [b - a for a, b in zip(discovery.asked, discovery.asked[1:], strict=False)]
+    # A pause is half to one and a half times 0.1, 0.2, 0.4 and 0.4 s; the agent's pace would be 0.2 each time.
+    assert len(gaps) == 3 and gaps[0] >= 0.05 and gaps[1] >= 0.1 and gaps[2] >= 0.2
+    client = program.client()
+    assert client.enqueue("aa02") == "+OK"
+    new.take()[0].answer(200)
+
+
+def test_an_agent_that_turns_away_is_asked_again_at_once(start):
+    discovery = Overbooked(2)
+    start([Backend("s1")], discovery=discovery)
+    assert discovery.watch()
+    assert all(b - a < 1.0 for a, b in zip(discovery.asked, discovery.asked[1:], strict=False))
