Keep what an older process told before the first tick, which an upgrade at times forgot

Cause: a look that finds the older process's file before the first decision pass, while the list still waits for it: `Facade.told` knows no server by name then and passed all over. Ruled out: the file (written whole, read whole). Change: what is told waits until the list has been taken in.

--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -169,6 +169,7 @@
         self._numbers: dict[int, _Known] = {}
         self._last = 0
         self._bell: tuple[float, int] | None = None
+        self._untold: list[Learned] = []   # of an older process, until the list is in
         self.wake: Callable[[], None] | None = None   # called whenever there is something for a tick
 
     # --- In.
@@ -255,6 +256,8 @@
                     self._orders.append(Retire(host))
                 case i.Log(text, host, state):
                     self._orders.append(Remark(text, host or "", state))
+        if self._untold:
+            self._take_over()
 
     def _dispatch(self, known: _Known, server: str, limit: float, open_calls: dict[str, Dispatch]) -> None:
         """Requests of one tick for one server travel together, as many as its kind takes."""
@@ -295,7 +298,16 @@
         return list(islice(known, most))
 
     def told(self, learned: Iterable[Learned]) -> None:
-        """What an older process has learned. What this one has seen by itself holds; a report overrides a limit."""
+        """What an older process has learned. What this one has seen by itself holds; a report overrides a limit.
+
+        Danger: it comes before the first tick, while the list still waits for one: nothing would be known by name.
+        """
+        self._untold += learned
+        if not self._facts:
+            self._take_over()
+
+    def _take_over(self) -> None:
+        learned, self._untold = self._untold, []
         for one in learned:
             link = self._relay.links.get(one.server)
             if link is None or link.calls or max(link.last_ok, link.failed_at) > -inf:
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -11,6 +11,7 @@
 import sys
 import threading
 import time
+from math import inf
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -430,6 +431,17 @@
     return [item for order in iter(decisions.pick, None) if isinstance(order, facade.Dispatch) for item in order.items]
 
 
+def test_what_is_told_before_the_list_has_been_taken_in_is_not_lost():
+    new = one_with_a_server(100.0)
+    fresh = facade.Facade(new._settings, 1)
+    fresh.report(facade.Table("kept", [facade.Server("s1", ("127.0.0.1", 1), 7)], 1))
+    learned = facade.Learned("s1", 20.0, 0.5, None, -inf)
+    fresh.told([learned])
+    assert fresh.learned(9) == []
+    fresh.tick(100.0)
+    assert fresh.learned(9) == [learned]
+
+
 def test_limits_and_returns_are_told_and_what_one_has_seen_itself_holds():
     old, new = one_with_a_server(100.0), one_with_a_server(100.0)
     (item,) = sent(old, 100.1, "a")
