Add a laboratory of the grown fleet: release, outage and lowered limits over forty senders

Change: `lab grown` (`lab/grown.py`): senders on one virtual clock, few destinations with limits that refused calls use up, connections that are scarce and cost a handshake (`Lines`), a discovery that is overbooked (`lab/registry.py`), asked by the sender's own `Asking`. Counts by second, by destination and by sender.

--- a/linkdock/console/main.py
+++ b/linkdock/console/main.py
@@ -194,6 +194,21 @@
     _experiment("fleet", file, {"senders": senders, "seeds": seeds, "jobs": jobs}, as_json)
 
 
+@lab.command()
+@click.option("--senders", type=int, help="How many.")
+@click.option("--endpoints", type=int, help="How many, over all destinations.")
+@click.option("--asking", type=click.Choice(["spread", "even"]), help="How discovery is asked: as now, or each 0.2 s.")
+@click.option("--seeds", type=int, help="How many schedules of each story.")
+@click.option("--jobs", type=int, help="Processes that play schedules side by side.")
+@click.option("--plan", "file", type=click.Path(path_type=Path, dir_okay=False), help="A file of figures as JSON.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def grown(senders: int | None, endpoints: int | None, asking: str | None, seeds: int | None, jobs: int | None,
+          file: Path | None, as_json: bool) -> None:
+    """Few destinations with limits, a dear list, scarce connections: a release, an outage, lowered limits."""
+    _experiment("grown", file, {"senders": senders, "endpoints": endpoints, "asking": asking, "seeds": seeds,
+                                "jobs": jobs}, as_json)
+
+
 def _experiment(name: str, file: Path | None, options: dict, as_json: bool) -> None:
     """Read the plan, run the experiment of that name and print its report."""
     import importlib
--- a/linkdock/lab/fleet.py
+++ b/linkdock/lab/fleet.py
@@ -48,12 +48,12 @@
             raise ValueError(f"part must leave a member to fall, not {self.part:g} of {self.members}")
 
 
-def _settings(plan: Plan, me: int) -> i.Settings:
+def settings_of(senders: int, me: int) -> i.Settings:
     """As the platform tells them: no weights, waits and reports by the members."""
     return i.Settings(
         classes=[i.MessageClass(i.Effect.SAFE, 0.8, 6.0, late_share=0.1),
                  i.MessageClass(i.Effect.UNSAFE, 4.0, 16.0, worth=2.0, late_share=0.3)],
-        kinds=[i.DestinationKind()], slots=6, max_open=60, max_attempts=12, relays=plan.senders, me=me,
+        kinds=[i.DestinationKind()], slots=6, max_open=60, max_attempts=12, relays=senders, me=me,
         max_retry_after=3.0, retry_after=True, cancel=True, second_copies=True, fall_multiple=1.5, tip_after=2.0,
         cold_share=0.35, cold_time=10.0, connect_timeout=1.5, idle_close=5.0, told_weights=False)
 
@@ -67,7 +67,7 @@
         self.members = {n: Member(n, Rules(), Random(seed * 1_000_003 + n), rate=load * self.random.uniform(1.3, 2.0))
                         for n in range(plan.members)}
         self.listed = i.Hosts(i.ListKind.FULL, [i.HostEntry(f"s-{n}", n) for n in self.members], 1)
-        self.worlds = [World(_settings(plan, me), seed * 7919 + me, None, self.members, lambda h: int(h[2:]))
+        self.worlds = [World(settings_of(plan.senders, me), seed * 7919 + me, None, self.members, lambda h: int(h[2:]))
                        for me in range(plan.senders)]
         weights = [self.random.expovariate(1.0) + 0.05 for _ in self.worlds]   # some see several times the mean
         at, until = 0.1, WARM_UP + plan.down_s + AFTER - 4.0
@@ -78,15 +78,21 @@
             world.ask(at, self.random.randrange(plan.members), int(self.random.random() < 0.5), "all")
 
     def run(self, until: float, happens: list[tuple[float, Callable[[], None]]]) -> None:
-        """Slice by slice, each sender in turn, in another order each time."""
-        happens, at, turn = sorted(happens, key=lambda one: one[0]), 0.0, list(self.worlds)
-        while at < until:
-            at += SLICE
-            while happens and happens[0][0] <= at:
-                happens.pop(0)[1]()
-            self.random.shuffle(turn)
-            for world in turn:
-                world.run(at)
+        watched(self.worlds, self.random, until, happens)
+
+
+def watched(worlds: list[World], random: Random, until: float,
+            happens: list[tuple[float, Callable[[], None]]]) -> None:
+    """Slice by slice, each sender in turn, in another order each time. What happens may add to what will."""
+    at, turn = 0.0, list(worlds)
+    while at < until:
+        at += SLICE
+        for one in sorted((one for one in happens if one[0] <= at), key=lambda one: one[0]):
+            happens.remove(one)
+            one[1]()
+        random.shuffle(turn)
+        for world in turn:
+            world.run(at)
 
 
 def story(plan: Plan, seed: int, name: str) -> dict:
--- a/linkdock/lab/members.py
+++ b/linkdock/lab/members.py
@@ -50,6 +50,9 @@
     span: float = 0.0
     resets: float = 0.0
     answers_when_down: bool = False   # refuses connections, or stays silent
+    refused_count: bool = False       # calls that it refuses use its limit up as well
+    places: int = 0                   # connections that it accepts, idle ones counted; 0 for any number
+    lines: int = 0                    # connections that are up now
     cold_since: float | None = None
     toppled: int = 0
     broken: int = 0                   # of these by senders two thirds of whose calls knew of the outage
@@ -104,6 +107,8 @@
         left = max(0.0, self._tokens - messages) / most
         if self._tokens < messages:
             wait = (messages - self._tokens) / present
+            if self.refused_count:
+                self._tokens = max(-most, self._tokens - messages)
             return Reply(FULL, 0.002, max(0.05, wait), (0.0, self.rate))
         self._tokens -= messages
         return self._serve(messages, left)
@@ -121,6 +126,7 @@
             self._span_at, self._in_span = now - now % self.span, 0
         most = max(1.0, present * self.span)
         if self._in_span + messages > most:
+            self._in_span += messages if self.refused_count else 0
             return Reply(FULL, 0.002, max(0.05, self._span_at + self.span - now), (0.0, self.rate))
         self._in_span += messages
         return self._serve(messages, 1 - self._in_span / most)
--- a/linkdock/lab/virtual.py
+++ b/linkdock/lab/virtual.py
@@ -15,7 +15,8 @@
 from ..decide import Relay
 from . import members as m
 
-TRIP = 0.01   # seconds to a member and back
+TRIP = 0.01          # seconds to a member and back
+HANDSHAKE = 0.075    # seconds that a new connection takes, some three trips between zones
 
 
 @dataclass(slots=True)
@@ -43,11 +44,59 @@
     destination: int
 
 
+class Lines:
+    """One sender's idle connections, and its part in what each member has open."""
+
+    def __init__(self, idle_for: float) -> None:
+        self._idle_for = idle_for
+        self._idle: dict[str, list[tuple[float, m.Member]]] = {}   # until when each stays, the freshest last
+
+    def take(self, host: str) -> bool:
+        """Whether an idle one is there; it is in use then."""
+        kept = self._idle.get(host)
+        if not kept:
+            return False
+        kept.pop()
+        return True
+
+    @staticmethod
+    def open(member: m.Member) -> bool:
+        """Whether the member accepts one more."""
+        if member.places and member.lines >= member.places:
+            return False
+        member.lines += 1
+        return True
+
+    def give_back(self, host: str, member: m.Member, now: float) -> float:
+        """It lies idle, until the time that is returned unless it is taken before."""
+        until = now + self._idle_for
+        self._idle.setdefault(host, []).append((until, member))
+        return until
+
+    def expire(self, host: str, until: float) -> None:
+        kept = self._idle.get(host, [])
+        while kept and kept[0][0] <= until:
+            kept.pop(0)[1].lines -= 1
+
+    def close(self, host: str) -> None:
+        for _, member in self._idle.pop(host, ()):
+            member.lines -= 1
+
+    def drop(self) -> None:
+        """The process has died, and all of its connections with it."""
+        for host in list(self._idle):
+            self.close(host)
+
+
 class World:
     """One relay, its members and its clock. `host_of` names the members that a host belongs to."""
 
     def __init__(self, settings: i.Settings, seed: int, sleeper: i.Sleeper | None,
                  members: dict[int, m.Member], member_of: Callable[[str], int]) -> None:
+        self.lines: Lines | None = None                                   # where connections are counted
+        self.alive: Callable[[str], bool] = lambda host: True             # whether a process runs there
+        self.count: Callable[[float, int, str], None] = lambda now, destination, what: None
+        self.marked: Callable[[float, i.Log], None] = lambda now, line: None   # what the decisions say of a host
         self.relay = Relay(settings, seed, sleeper)
         self.settings, self.members, self.member_of = settings, members, member_of
         self.now, self.random = 0.0, Random(seed)
@@ -56,7 +105,7 @@
         self._batch: list[i.Event] = []
         self._open: dict[int, _Open] = {}
         self._out: dict[tuple[int, int], tuple[str, float]] = {}
-        self._saw: dict[str, int] = {}   # the last outage of each host that a call met
+        self._saw: dict[int, int] = {}   # the last outage of each member that a call met
         self._attempts: Counter[int] = Counter()
         self._bell: tuple[float, int] | None = None
         self.tallies: dict[str, Tally] = {}
@@ -120,6 +169,10 @@
                         self._outcome(number, attempt, i.Result.CANCELLED)
                 case i.SetTimer(at, token):
                     self._bell = at, token
+                case i.CloseIdle(host) if self.lines is not None:
+                    self.lines.close(host)
+                case i.Log():
+                    self.marked(self.now, action)
 
     def _send(self, number: int, host: str, limit: float) -> None:
         attempt = self._attempts[number]
@@ -127,11 +180,23 @@
         self._out[number, attempt] = host, self.now
         left = self._open[number].deadline - self.now
         limit = min(limit or left, left)
-        member = self.members[self.member_of(host)]
-        reply = member.call(self.now + TRIP / 2, 1, self._saw.get(host) == member.outages)
-        if not member.up:
-            self._saw[host] = member.outages
-        after = TRIP + reply.delay
+        number_of = self.member_of(host)
+        member, opened = self.members[number_of], 0.0
+        self.count(self.now, number_of, "resent" if attempt else "sent")
+        held = self.lines is not None and self.lines.take(host)
+        if self.lines is not None and not held:
+            opened = HANDSHAKE
+            self.count(self.now, number_of, "handshakes")
+            held = self.lines.open(member)
+        if not self.alive(host) or opened and not held:
+            reply = m.Reply(m.UNREACHABLE, 0.002)
+        else:
+            reply = member.call(self.now + opened + TRIP / 2, 1, self._saw.get(number_of) == member.outages)
+            if not member.up:
+                self._saw[number_of] = member.outages
+        if reply.how == m.UNREACHABLE and held:
+            member.lines -= 1
+        after = TRIP + opened + reply.delay
         report = None if reply.report is None else i.Report(*reply.report)
         if reply.how == m.UNREACHABLE:
             self.at(self.now + after, lambda: self._outcome(number, attempt, i.Result.CONNECT_FAILED))
@@ -149,6 +214,15 @@
         if known is None:
             return
         host, sent = known
+        if result is not i.Result.OK:
+            self.count(self.now, self.member_of(host), "refused" if result is i.Result.FULL else "failed")
+        if self.lines is not None and result is not i.Result.CONNECT_FAILED:
+            member = self.members[self.member_of(host)]
+            if result in (i.Result.OK, i.Result.FULL):
+                until = self.lines.give_back(host, member, self.now)
+                self.at(until, lambda: self.lines.expire(host, until))
+            else:
+                member.lines -= 1
         if result is i.Result.OK:
             self._end(number, "served")
         self._batch.append(i.Outcome(number, attempt, host, result, self.now - sent, result is i.Result.OK, wait,
@@ -171,7 +245,12 @@
         What may have run and may not be repeated has ended; calls that were out tell nothing any more.
         """
         doubtful = {number for number, _ in self._out}
+        for host, _ in self._out.values():
+            if self.lines is not None:
+                self.members[self.member_of(host)].lines -= 1
         self._out.clear()
+        if self.lines is not None:
+            self.lines.drop()
         self._bell, self._batch = None, [listed]
         self.relay = Relay(self.settings, seed)
         for number, told in list(self._open.items()):
--- /dev/null
+++ b/tests/test_grown.py
@@ -0,0 +1,88 @@
+"""The grown fleet in the laboratory: its discovery, its scarce connections, and what forty senders do together."""
+
+from random import Random
+
+import pytest
+
+from linkdock import interface as i
+from linkdock.lab.grown import AFTER, WARM_UP, Grown, Plan, story
+from linkdock.lab.members import FULL, OK, Member, Rules
+from linkdock.lab.registry import Registry
+from linkdock.lab.virtual import Lines
+
+SMALL = {"senders": 12, "destinations": 4, "endpoints": 12, "rate": 60.0}
+
+
+def test_discovery_that_is_overbooked_serves_nobody_until_it_is_left_alone():
+    registry = Registry([i.HostEntry("0-0", 0)], 10.0, Random(1))
+    told = []
+    served = [registry.ask(0.0, n, lambda changes, upto: told.append(upto)) for n in range(40)]
+    assert sum(served) == len(told) == 10 and registry.turned_away == 30
+    assert not any(registry.ask(0.1 * n, 50, lambda *news: None) for n in range(1, 20))   # some 10 a second, no rest
+    assert registry.ask(9.0, 50, lambda *news: None)
+    registry.replace("0-0", "0-new")
+    registry.tell(registry.version)
+    assert told[-10:] == [2] * 10 and registry.alive("0-new") and not registry.alive("0-0")
+    registry.lose(0)
+    registry.tell(registry.version)
+    assert len(told) == 10 + 10 + 9
+
+
+@pytest.mark.parametrize("span", [0.0, 1.0])
+def test_refused_calls_use_the_limit_up_where_they_count(span):
+    def served(counted):
+        member = Member(0, Rules(), Random(1), rate=10.0, span=span, refused_count=counted)
+        # Twenty at once in each of four seconds, then one at a pace.
+        hows = [member.call(t + n / 1000).how for t in range(4) for n in range(20)]
+        hows += [member.call(4.0 + n / 20).how for n in range(60)]
+        assert set(hows) == {OK, FULL}
+        return hows.count(OK)
+    assert served(True) < served(False) if not span else served(True) == served(False)
+
+
+def test_a_member_accepts_so_many_connections_and_has_each_back():
+    member, lines = Member(0, Rules(), Random(1), places=2), Lines(idle_for=4.0)
+    assert not lines.take("a") and lines.open(member) and lines.open(member) and not lines.open(member)
+    until = lines.give_back("a", member, 1.0)
+    assert until == 5.0 and member.lines == 2 and lines.take("a") and not lines.take("a")
+    lines.give_back("a", member, 2.0), lines.give_back("b", member, 3.0)
+    lines.expire("a", 6.0)
+    assert member.lines == 1
+    lines.drop()
+    assert member.lines == 0
+
+
+@pytest.mark.parametrize("name", ["release", "zone", "lowered"])
+def test_one_seed_is_one_schedule_and_every_message_has_one_end(name):
+    first, second = (story(Plan(**SMALL), 4, name, tables=True) for _ in range(2))
+    first.pop("took s"), second.pop("took s")
+    assert first == second
+    assert sum(first["by second"]["sent"]) == sum(first["by destination"]["sent"]) == first["sent"]
+
+
+def test_a_fleet_that_asks_in_step_never_hears_of_a_release_and_one_that_spreads_does():
+    even, spread = (story(Plan(asking=how, replaced=1.0), 1, "release") for how in ("even", "spread"))
+    assert even["never had the list again"] > 20 and spread["never had the list again"] == 0
+    assert spread["s until a killed sender had the list"] < 4.0
+    assert spread["served"] > even["served"] + 0.05 and 10 * spread["asks"] < even["asks"]
+
+
+@pytest.mark.parametrize("senders", [3, 40, 200])
+def test_a_release_leaves_no_connection_counted_twice_whatever_the_size(senders):
+    fleet = Grown(Plan(senders=senders), 2)
+    some = list(range(senders // 2))
+    happens = []
+    happens.append((WARM_UP, lambda: fleet.kill(some, 3, happens, WARM_UP)))
+    fleet.run(WARM_UP + AFTER + 30.0, happens)   # all is over, and every idle connection was retired
+    assert [member.lines for member in fleet.members.values()] == [0] * len(fleet.members)
+    for world in fleet.worlds:
+        tally = world.tallies.get("all")
+        assert not world._open
+        assert tally is None or tally.asked == tally.served + tally.late + tally.refused + tally.failed
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_cold_destinations_get_less_than_they_can_take_and_lowered_limits_are_kept(seed):
+    zone, lowered = (story(Plan(), seed, name) for name in ("zone", "lowered"))
+    assert zone["rule broken"] == zone["toppled"] == 0 and zone["s until a sender stopped it"] < 5.0
+    assert lowered["refused while lowered"] < 0.4 and lowered["failed messages"] == 0.0
