Start without a readable list, pass over an older one once, and say when discovery is asked again

An empty or unreadable `known` ended the start with status 2, so that what an earlier life owed stayed unsent; a message that came before any list was told a final error ("unknown destination"), though nobody knew; a whole list of an older version replaced the one in force and brought back what was gone. Change: `known` is passed over with one line; until a list or change has come a message is denied with -BUSY 1000; a whole list older than what is known is taken only when a second watch tells it too. A sender without a list asks within a second. The log says when a discovery that turned the sender away is asked again. Tests: stories over loopback for each of these, which fail without the change; a limit under one call a second and a host that refuses connections at 3, 40 and 200 senders.

--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -73,6 +73,10 @@
     return bool(told.get("whole")), servers, told.get("seq", 0)
 
 
+class OldList(ValueError):
+    """A whole list of a version before the one that is known."""
+
+
 class Desk(Protocol):
     """Who takes the news."""
 
@@ -86,8 +90,9 @@
 class Staging:
     """One line while it comes in: a whole list is built beside the one in force, changes are handed on."""
 
-    def __init__(self, desk: Desk, most: int) -> None:
-        self._desk, self._most = desk, most
+    def __init__(self, desk: Desk, most: int, oldest: int = 0) -> None:
+        """A whole list before the version `oldest` is no news."""
+        self._desk, self._most, self._oldest = desk, most, oldest
         self._roster: Roster | None = None
         self._untold: list[Server] = []
         self._count, self._refused = 0, False
@@ -122,6 +127,8 @@
         if untold:
             self.rows(untold, whole)
         if not self._refused:
+            if whole and version < self._oldest:
+                raise OldList(version)
             if whole:
                 self._desk.whole(self._roster or Roster(), version)
             else:
@@ -139,6 +146,7 @@
         self._desk, self._most_list = desk, most_list
         self._stream: IOStream | None = None
         self._served = self._moved = self._closed = False
+        self._old = False   # whether the last whole list was older than what is known
         self._resting: Timer | None = None   # until the next ask
         self._rested = asyncio.Event()
 
@@ -148,6 +156,12 @@
             self._served = False
             try:
                 await self._watch()
+            except OldList as old:
+                # Danger: a replica that lags would bring back what drains or is gone. Told once more it is no lag:
+                # discovery has begun anew.
+                self._old = True
+                log.warning("discovery: a whole list of version %s is older than %d; it is asked once more", old,
+                            self._version())
             except (StreamClosedError, OSError, http.BadAnswer, ValueError) as bad:
                 if not self._closed:
                     log.info("discovery: watch ended: %s", bad)
@@ -156,7 +170,10 @@
             finally:
                 if self._stream is not None:   # else there was no descriptor for it
                     self._stream.close()
-            await self._rest(self._asking.moved() if self._moved else self._asking.again(self._served))
+            pause = self._asking.moved() if self._moved else self._asking.again(self._served)
+            if not self._served and pause > 1.0:
+                log.info("discovery: asked again in %.1f s", pause)
+            await self._rest(pause)
 
     async def _rest(self, seconds: float) -> None:
         """Ask nothing for so long, or until discovery has another address."""
@@ -176,7 +193,7 @@
             path = f"/api/targets?watch=1&from={self._version()}"
             await stream.write(http.request("GET", path, self._dial))
             parser, reader = http.AnswerParser(most_body=None), ListReader()
-            staging = Staging(self._desk, self._most_list)
+            staging = Staging(self._desk, self._most_list, 0 if self._old else self._version())
             while not parser.whole:
                 data = await stream.read_bytes(PIECE, partial=True)
                 timer.cancel()
@@ -198,6 +215,7 @@
                 staging.rows(read_rows(part.rows, self._zones, self._kinds), part.whole)
             else:
                 staging.told(part.whole, part.version)
+                self._old = False
 
     def move(self, dial: tuple[str, int]) -> None:
         """Discovery has another address: the watch goes on there, from the version that is known."""
--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -45,6 +45,7 @@
 
 CLOSE = 0.25   # seconds before its deadline in which a delivery may have come too late for the platform
 REMEMBERED, MOST_REMEMBERED = 5.0, 4096   # seconds for which ended requests are remembered, and how many
+NO_LIST = 1.0   # seconds after which to come again to a sender that has no list yet
 ENDS = {"delivered": "fulfilled", "deferred": "throttled"}   # how the operators' figures call an end; else faulted
 
 
@@ -87,7 +88,11 @@
         if cls not in self._config.classes:
             raise Refused("unknown class")
         if not self._table.knows(destination):
-            raise Refused("unknown destination")
+            if self._table.told:
+                raise Refused("unknown destination")
+            # Danger: no list has come yet. Nobody can say that there is no such destination.
+            self._say(request, Busy(NO_LIST))
+            return
         if left > 2 * self._config.settings.classes[self._config.classes[cls]].deadline:
             raise Refused("d is beyond the deadline of its class")
         known = self._requests.get(request.id)
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -203,7 +203,7 @@
         name=top.get("name", str), listen=top.address("listen"), discovery=top.address("discovery"),
         state=state, seed=number, memory_mb=limits.number("memory_mb", 192.0, 32.0),
         sockets=limits.count("sockets", 1024, 64), disk_mb=limits.number("disk_mb", 3.0, 0.01),
-        known=top.get("known", dict, {}), settings=_settings(settings),
+        known=_known(told.get("known")), settings=_settings(settings),
         class_names=[c.get("name", str) for c in settings.parts("grades")],
         zones=settings.get("zones", list, []), kinds=settings.get("machine-types", list, []),
         fields=settings.part("report", {}).get("fields", list, []),
@@ -211,6 +211,14 @@
         paid_news=settings.get("discovery", str, "") == "subscribe")
 
 
+def _known(told: object) -> dict:
+    """The list as it was last. It may be old, and one that cannot be read is passed over: discovery has the new one."""
+    if told is None or isinstance(told, dict):
+        return told or {}
+    log.warning("known must be an object, not %.40r; the start goes on without it", told)
+    return {}
+
+
 def _settings(told: _Reader) -> Settings:
     limits, extra, rules = told.part("limits"), told.part("extra"), told.part("rules")
     tariffs = told.part("tariffs", {})
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -81,9 +81,12 @@
             try:
                 _, servers, version = read_news(config.known, config.zones, config.kinds)
             except ValueError as bad:
-                raise ConfigError(f"known: {bad}") from None
-            table.update(servers, version)
-            facade.report(Table("kept", table.shown(servers), version))
+                # Danger: a list that cannot be read would keep a sender from the messages that it owes.
+                log.warning("known: %s; the start goes on without it", bad)
+            else:
+                table.update(servers, version)
+                table.told = bool(servers)   # Danger: an empty one says nothing of what there is
+                facade.report(Table("kept", table.shown(servers), version))
         self.sender = Sender(config, clock, self.spawn, facade, self._journal, table)
         idle_for = max(settings.idle_close - IDLE_MARGIN, settings.idle_close / 2)
         kept = self._kept(config, table, idle_for)
@@ -93,7 +96,7 @@
         self.sender.backend.kept = kept
         self._notices = self.sender.notices = Notices(config.discovery, self._wheel, self._wheel.pause,
                                                       self.sender.confirmed)
-        asking = Asking(config.paid_news, settings.relays, settings.ask_within, config.seed)
+        asking = Asking(config.paid_news, settings.relays, settings.ask_within, config.seed, not len(table.roster))
         self._watch = Watch(config.discovery, self._wheel, asking, config.zones, config.kinds,
                             lambda: table.version, self.sender, config.most_list)
         self._observer = self._records(config)
--- a/linkdock/state/asking.py
+++ b/linkdock/state/asking.py
@@ -12,6 +12,7 @@
 EACH = 0.08         # seconds that each sender adds to the span of the first asks: 40 over 2.5 s had 12 turned away
 FIRST = 1 / 8       # first pause after a refusal, in told periods; it doubles
 MOST = 1 / 2        # up to this, which by chance half to one and a half times stays inside the period
+NOTHING = 1.0       # seconds of the span at the most for one that has no list at all
 MOVED = 2.0         # seconds at the most after a change of address, of the 4 within which its news counts as told
 
 
@@ -23,16 +24,17 @@
     as old as the span is long.
     """
 
-    def __init__(self, paid: bool, senders: int, within: float, seed: int) -> None:
-        """`paid`: each ask costs, and news must be asked for `within` so many seconds."""
-        self._paid, self._within = paid, within
+    def __init__(self, paid: bool, senders: int, within: float, seed: int, nothing: bool = False) -> None:
+        """`paid`: each ask costs, and news must be asked for `within` so many seconds; `nothing`: no list is known."""
+        self._paid, self._within, self._nothing = paid, within, nothing
         self._random = Random(seed + 2)   # the decisions draw from the two before
         self._span = min(senders * EACH, MOST * within)
         self._refused = 0   # on end
 
     def first(self) -> float:
         """Until the first ask of a life."""
-        return self._random.uniform(0.0, self._span) if self._paid else 0.0
+        span, self._nothing = min(self._span, NOTHING) if self._nothing else self._span, False
+        return self._random.uniform(0.0, span) if self._paid else 0.0
 
     def again(self, served: bool) -> float:
         """Until the next ask after one that ended; `served`: it had brought news."""
--- a/linkdock/state/table.py
+++ b/linkdock/state/table.py
@@ -21,6 +21,7 @@
         self._apart, self._clock = list(apart), clock   # by kind: whether a wait binds one server or its destination
         self.roster, self._before = Roster(), Roster()
         self.version = 0
+        self.told = False                      # whether any list or change has come
         self._waits: dict[tuple, float] = {}
         self._most_waits = MOST_WAITS
         self._emptied: dict[int, float] = {}   # destinations without a row: until when they are known
@@ -30,6 +31,7 @@
 
     def update(self, servers: Iterable[Server], version: int) -> None:
         """Take in changes."""
+        self.told = True
         for server in servers:
             destination = self._destination(server) if server.health == "gone" else None
             self.roster.put(server)
@@ -46,7 +48,7 @@
 
     def replace(self, roster: Roster, version: int) -> Roster:
         """Take in a whole list, whose roster is this table's from now on; the one before is returned."""
-        self._before, self.roster, self.version = self.roster, roster, version
+        self._before, self.roster, self.version, self.told = self.roster, roster, version, True
         self._before_until = self._clock() + KNOWN_FOR
         return self._before
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -174,7 +174,7 @@
     """The real program as its own process, with a folder that lasts."""
 
     def __init__(self, folder, backends, discovery=None, limits=None, deploy=None, admin=None, accept=None, state=None,
-                 news="automatic", **more):
+                 news="automatic", known=None, **more):
         self.discovery = discovery or Discovery()
         self.deploy = folder / "deploy"   # what is switched on: a file's name and its settings
         self.deploy.mkdir(exist_ok=True)
@@ -185,7 +185,7 @@
         self.state.mkdir(exist_ok=True)
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.dial, "seed": "8c1f30d2",
                   "limits": {"memory_mb": 192, "sockets": 1024, "disk_mb": 3, **(limits or {})},
-                  "known": {"seq": 7, "whole": True, "hosts": [b.row() for b in backends]},
+                  "known": {"seq": 7, "whole": True, "hosts": [b.row() for b in backends]} if known is None else known,
                   "settings": {**settings(**more), "discovery": news}}
         if admin is not None:
             config["admin_addr"] = admin
@@ -221,12 +221,16 @@
     def client(self):
         return Client(self.port)
 
-    def reload(self, text=None, **changes):
-        """Put a new file in the old one's place, and say so."""
+    def rewrite(self, text=None, **changes):
+        """Put a new file in the old one's place."""
         told = {**json.loads(self.config.read_bytes()), **changes}
         fresh = self.config.with_suffix(".new")
         fresh.write_text(json.dumps(told) if text is None else text)
         fresh.replace(self.config)
+
+    def reload(self, text=None, **changes):
+        """The same, and say so."""
+        self.rewrite(text, **changes)
         self.process.send_signal(signal.SIGHUP)
 
     def logged(self, text):
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -4,6 +4,7 @@
 
 import pytest
 from peers import Backend, Discovery, Program
+from test_stories import socket_that_is_called
 
 from linkdock.state.asking import AGENT, MOVED, Asking
 
@@ -58,6 +59,13 @@
     assert max(asking.moved() for asking in senders) <= MOVED
 
 
+def test_one_that_has_no_list_asks_within_a_second_and_then_as_all_do():
+    bare = [Asking(True, 40, WITHIN, seed=n, nothing=True) for n in range(40)]
+    first = [asking.first() for asking in bare]
+    assert max(first) <= 1.0 and most_in(first, 0.1) < 16
+    assert max(asking.again(served=True) for asking in bare) > 1.5
+
+
 def test_an_agent_is_asked_at_once_and_at_an_even_pace():
     asking = Asking(False, 200, WITHIN, 1)
     assert (asking.first(), asking.moved()) == (0.0, 0.0)
@@ -100,3 +108,56 @@
     start([Backend("s1")], discovery=discovery)
     assert discovery.watch()
     assert all(b - a < 1.0 for a, b in zip(discovery.asked, discovery.asked[1:], strict=False))
+
+
+@pytest.mark.parametrize("known", [
+    {"seq": 0, "whole": True, "hosts": []}, {"seq": None, "hosts": [7]}, {"hosts": "none"}, ["no", "list"], "", {}])
+def test_a_known_list_that_is_empty_or_cannot_be_read_keeps_nobody_from_the_start(start, known):
+    server = Backend("s1")
+    program = start([server], known=known)
+    client = program.client()
+    assert client.enqueue("aa01") == "-BUSY 1000"   # nothing says yet that there is no such destination
+    first, tell = program.discovery.watch()
+    tell(9, [server.row()])
+    for n in range(2, 200):   # the news is taken in within a tick or two
+        if (said := client.enqueue(f"aa{n:02d}")) == "+OK":
+            break
+        assert said == "-BUSY 1000"
+    server.take()[0].answer(200)
+    assert client.enqueue("ab01", dest=99).startswith("-ERR")   # now it is known what there is
+
+
+def test_what_an_earlier_life_owes_outlasts_a_start_without_a_list(start):
+    server = Backend("s1")
+    program = start([server])
+    program.discovery.watches.get(timeout=8)
+    assert program.client().enqueue("aa01") == "+OK"
+    server.take()
+    program.kill()
+    program.rewrite(known=["no", "list"])
+    program.start()
+    first, tell = program.discovery.watch()
+    tell(9, [server.row()])
+    _, headers, _ = server.take()[1]
+    assert headers["x-trace-id"] == "aa01"
+
+
+def test_a_whole_list_older_than_what_is_known_is_taken_only_when_it_is_told_twice(start):
+    old, new = Backend("s1"), Backend("s2")
+    program = start([new])
+    for turn in range(2):
+        first, tell = program.discovery.watch()
+        assert "from=7" in first
+        tell(3, [old.row()], whole=True)
+        if not turn:
+            program.logged("a whole list of version 3 is older than 7")
+            assert program.client().enqueue("aa01") == "+OK"
+            new.take()[0].answer(200, Connection="close")   # what is known stays in force
+    client, called = program.client(), new
+    for n in range(2, 200):   # the second telling is taken in within a tick or two
+        assert client.enqueue(f"aa{n:02d}") == "+OK"
+        called = socket_that_is_called([old, new])
+        called.take()[0].answer(200, Connection="close")
+        if called is old:
+            break
+    assert called is old
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -86,3 +86,18 @@
     zone, lowered = (story(Plan(), seed, name) for name in ("zone", "lowered"))
     assert zone["rule broken"] == zone["toppled"] == 0 and zone["s until a sender stopped it"] < 5.0
     assert lowered["refused while lowered"] < 0.4 and lowered["failed messages"] == 0.0
+
+
+@pytest.mark.parametrize("senders", [3, 40, 200])
+def test_a_limit_under_one_call_a_second_and_a_host_that_refuses_connections_cost_each_sender_a_few_tries(senders):
+    fleet = Grown(Plan(senders=senders), 1)
+    fleet.members[7].rate = 0.5
+    dead = next(host for host in fleet.registry.listed if host.startswith("2-"))
+    for world in fleet.worlds:
+        world.alive = lambda host: host != dead and fleet.registry.alive(host)
+    fleet.run(30.0, [])
+
+    def count(destination, what):
+        return sum(fleet.counts[second, destination, what] for second in range(30))
+    assert count(7, "refused") <= 5 * senders and fleet.members[7].served >= 10
+    assert count(2, "failed") <= 2 * senders and fleet.members[2].served >= 0.95 * count(2, "sent")
