Count the time that a message may have lain in the socket before a process had started

Its id, followed through the logs: handed in while n0 started, read 4 ms after the start, refused once by its destination, ended by a notice 59 ms before its time as n0 knew it. `d` runs from when the client sent it, and a client waits 0.4 s for its answer: by the client's clock the notice came up to 0.34 s after the time, where 0.3 are allowed. The same holds for connections that wait in an inherited socket while a new version starts. Ruled out: notices that were not confirmed (none logged), the turn-away itself, and `Sender.restore` (the folder is empty at these starts). At fault: `Sender._ask`, which took `d` from the reading. Change: what is read in the first 50 ms of a life has 0.4 s less. A story with an inherited socket fails without it; three stories with short times wait until the start is over.

--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -45,6 +45,7 @@
 
 CLOSE = 0.25   # seconds before its deadline in which a delivery may have come too late for the platform
 REMEMBERED, MOST_REMEMBERED = 5.0, 4096   # seconds for which ended requests are remembered, and how many
+WAITED, EARLY = 0.4, 0.05   # seconds that a client waits for its answer; and after a start until what comes is fresh
 NO_LIST = 1.0   # seconds after which to come again to a sender that has no list yet
 ENDS = {"delivered": "fulfilled", "deferred": "throttled"}   # how the operators' figures call an end; else faulted
 
@@ -62,6 +63,7 @@
         self._over: dict[str, float] = {}          # ended lately: until when that is remembered
         self._unsafe_until: float | None = None    # set while stopping
         self._left = 0                             # requests left for the next life
+        self._fresh_from = -inf                    # what is read before may have waited for this process to start
         self.observer: Observer | None = None      # of the records, where they are on
         self.spread: Callable[[float], float] | None = None   # of times to come back, where the gate is on
         self.undeliverable: Undeliverable | None = None   # the store, where it is on
@@ -95,6 +97,10 @@
             return
         if left > 2 * self._config.settings.classes[self._config.classes[cls]].deadline:
             raise Refused("d is beyond the deadline of its class")
+        if self._clock() < self._fresh_from:
+            # Danger: its time runs from when the client sent it, which may be as long ago as a client waits: it lay in
+            # the socket until this process had started. Told too late, its end counts as none.
+            left = max(0.0, left - WAITED)
         known = self._requests.get(request.id)
         if known is not None and known.answer is not None:
             raise Refused("this id is being handed in already")
@@ -167,6 +173,10 @@
             self._facade.report(Table("changes", self._table.shown([row._replace(out_since=out_since)]),
                                       self._table.version))
 
+    def started(self) -> None:
+        """Clients are let in from now on."""
+        self._fresh_from = self._clock() + EARLY
+
     def restore(self) -> None:
         """Take up what an earlier life of this sender took on."""
         self.take_up(list(self._journal.kept.values()))
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -134,6 +134,7 @@
             except OSError as bad:
                 raise ConfigError(f"admin_addr: {bad}") from None
         self._due = self._loop.time()   # what came before was the start
+        self.sender.started()
         self.frontend.observer = self._observer
         if self._clients is not None:
             self.sender.spread = lambda wait: gate.spread(self._wheel.now, wait)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -221,6 +221,12 @@
     def client(self):
         return Client(self.port)
 
+    def settle(self):
+        """Until what is sent was surely sent after the start, and has the whole of its time."""
+        until = time.monotonic() + 0.06
+        while time.monotonic() < until:
+            assert self.client().ask("PING") == "+PONG"
+
     def rewrite(self, text=None, **changes):
         """Put a new file in the old one's place."""
         told = {**json.loads(self.config.read_bytes()), **changes}
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -721,6 +721,7 @@
 def test_a_delivery_at_the_very_end_of_its_time_is_ended_by_a_notice_as_well(start):
     server = Backend("s1")
     program = start([server])
+    program.settle()
     assert program.client().enqueue("aa01", "order", d=900) == "+OK"
     line, _ = server.take()
     assert server.quiet(0.75)   # it may have come too late by the clock of the client
@@ -731,6 +732,7 @@
 def test_a_call_is_given_up_before_the_end_that_it_told(start):
     server = Backend("s1")
     program = start([server])
+    program.settle()
     assert program.client().enqueue("aa01", "order", d=900) == "+OK"
     line, (_, headers, _) = server.take()
     taken = time.monotonic()
@@ -1092,6 +1094,7 @@
 def test_beyond_the_cap_a_call_waits_for_the_one_before_it_and_no_longer_than_its_time(start):
     server = Backend("s1")
     program = start([server], deploy={"connections": {"on": True, "cap": 1}})
+    program.settle()
     client = program.client()
     assert client.enqueue("aa01", "order") == "+OK"
     line, _ = server.take()
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -550,3 +550,23 @@
                               env={**os.environ, "RELAY_CONFIG": str(tmp_path / "config.json"),
                                    "RELAY_STATE": str(tmp_path), "RELAY_ACCEPT_FD": told})
     assert done.returncode == 2 and "linkdock: RELAY_ACCEPT_FD" in done.stderr and "Traceback" not in done.stderr
+
+
+def test_what_lay_in_the_socket_until_the_start_has_less_time_than_it_says(tmp_path):
+    server = Backend("s1")
+    listening = socket.create_server(("127.0.0.1", 0))
+    early = Client(listening.getsockname()[1])   # nobody accepts yet
+    early.send("ENQUEUE", "0" * 16, "ea01", "c=order,d=6000,dest=1", b"hello")
+    program = Program(tmp_path, [server], accept=listening)
+    try:
+        assert early.heard() == "+OK"
+        line, (_, headers, _) = server.take()
+        assert float(headers["x-expires-in"]) <= 5.6   # it may have been sent 0.4 s before it was read
+        line.answer(200)
+        program.settle()
+        assert program.client().enqueue("ea02", "order", 6000) == "+OK"
+        _, headers, _ = line.call()
+        assert float(headers["x-expires-in"]) > 5.9
+    finally:
+        program.close()
+        listening.close()
