--- a/linkdock/lab/fleet.py
+++ b/linkdock/lab/fleet.py
@@ -130,6 +130,16 @@
     return report
 
 
+def spread(runs: list[dict]) -> dict:
+    """Of each figure of the runs the least, the median and the most."""
+    report = {}
+    for key in runs[0]:
+        values = [one[key] for one in runs if one[key] is not None]
+        if key not in ("seed", "took s") and values:
+            report[key] = {"least": min(values), "median": statistics.median(values), "most": max(values)}
+    return report
+
+
 def run(plan: Plan, said: Callable[[str], None] = lambda text: None) -> dict:
     """The whole experiment: every story over all seeds; medians with their spread."""
     plan.check()
@@ -138,9 +148,6 @@
         for name in STORIES:
             said(f"{name}, {plan.seeds} seeds")
             runs = list(jobs.map(story, [plan] * plan.seeds, seeds, [name] * plan.seeds))
-            report[name] = {
-                key: {"least": min(values), "median": statistics.median(values), "most": max(values)}
-                for key in runs[0] if key not in ("seed", "took s")
-                for values in [[one[key] for one in runs]]}
+            report[name] = spread(runs)
             report[name]["seeds that broke the rule"] = [one["seed"] for one in runs if one["rule broken"]]
     return report
--- a/linkdock/lab/grown.py
+++ b/linkdock/lab/grown.py
@@ -21,7 +21,7 @@
 
 from .. import interface as i
 from ..state.asking import AGENT, Asking
-from .fleet import Positive, settings_of, watched
+from .fleet import Positive, settings_of, spread, watched
 from .members import Member, Rules
 from .registry import Registry
 from .virtual import Lines, World
@@ -256,12 +256,7 @@
         for name in STORIES:
             said(f"{name}, {plan.seeds} seeds")
             runs = list(jobs.map(story, [plan] * plan.seeds, seeds, [name] * plan.seeds))
-            report[name] = {}
-            for key in runs[0]:
-                values = [one[key] for one in runs if one[key] is not None]
-                if key not in ("seed", "took s") and values:
-                    report[name][key] = {"least": min(values), "median": statistics.median(values),
-                                         "most": max(values)}
+            report[name] = spread(runs)
             tables = story(plan, plan.first_seed, name, tables=True)
             report[name]["first seed"] = {key: tables[key] for key in TABLES}
     return report
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -3,7 +3,7 @@
 import time
 
 import pytest
-from peers import Backend, Discovery, Program
+from peers import Backend, Discovery
 from test_stories import socket_that_is_called
 
 from linkdock.state.asking import AGENT, MOVED, Asking
@@ -11,18 +11,6 @@
 WITHIN = 10.0
 
 
-@pytest.fixture
-def start(tmp_path):
-    programs = []
-
-    def begin(backends, **more):
-        programs.append(Program(tmp_path, backends, **more))
-        return programs[-1]
-    yield begin
-    for program in programs:
-        program.close()
-
-
 def fleet(senders, paid=True):
     return [Asking(paid, senders, WITHIN, seed=n) for n in range(senders)]
 
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -15,7 +15,7 @@
 
 import pytest
 from click.testing import CliRunner
-from peers import PATIENCE, ROOT, Backend, Client, Discovery, Program, settings
+from peers import PATIENCE, ROOT, Backend, Client, Discovery, settings
 
 from linkdock.console.main import cli
 from linkdock.records.audit import audit
@@ -25,18 +25,6 @@
 from linkdock.undeliverable.store import Filter, Store
 
 
-@pytest.fixture
-def start(tmp_path):
-    programs = []
-
-    def begin(backends, **more):
-        programs.append(Program(tmp_path, backends, **more))
-        return programs[-1]
-    yield begin
-    for program in programs:
-        program.close()
-
-
 def owed(program):
     """What the journal still holds; the program must not run."""
     return Journal(program.state, 3_000_000).kept
