--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -146,6 +146,24 @@
     full.close()
 
 
+def test_what_was_handed_over_is_not_taken_back_when_a_later_hand_over_fails(tmp_path):
+    """Else two processes pass the same messages to and fro until the old one ends, and do nothing else."""
+    old, new, taken = shift(tmp_path), shift(tmp_path), []
+    old._sender, old._facade = SimpleNamespace(take_up=taken.extend), SimpleNamespace()
+    for name in ("a", "b"):
+        old.journal.take(kept(name))
+    assert old.hand_over(["a"])
+    append, old.journal._append = old.journal._append, lambda data: False   # no room for its record
+    assert not old.hand_over(["b"]) and set(old.journal.kept) == {"b"}
+    old.journal._append = append
+    old.look()
+    assert taken == [] and set(old.journal.kept) == {"b"}
+    _, left = new._succession.look()
+    assert {k.id for k in new._take_up(left)} == {"a"}
+    old.close()
+    new.close()
+
+
 def test_what_is_adopted_beyond_the_bounds_keeps_room_for_its_ends(tmp_path):
     journal = Journal(tmp_path, 100_000, "journal.2")
     journal.hold_at_most(0.2, 0.1)
