--- a/linkdock/lab/grown.py
+++ b/linkdock/lab/grown.py
@@ -13,7 +13,9 @@
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
 from functools import partial
+from math import ceil
 from random import Random
 from typing import Annotated, Literal
 
@@ -35,6 +37,8 @@
 LOWERED = 9.0          # seconds of the lower limits
 KEPT = 1.1             # of a lowered limit, within which calls count as keeping to it
 ANSWER = 0.14          # seconds until an ask that is turned away hears so
+ROOMY, BUSY = 2.2, 0.35   # slots over those in use, and the seconds that a call keeps one
+HELD = 8.0             # seconds of traffic that a sender may hold
 STORIES = ("release", "zone", "lowered")
 TABLES = ("by second", "by destination", "calls by sender")
 COUNTS = ("sent", "resent", "refused", "failed", "handshakes")
@@ -99,7 +103,10 @@
         return Asking(True, self.plan.senders, 10.0, seed * 104_729 + me)
 
     def _sender(self, me: int, seed: int) -> World:
-        told = settings_of(self.plan.senders, me)
+        # Slots and room as the platform gives them: by what a sender's share of the traffic keeps busy.
+        share, usual = self.plan.rate / self.plan.senders, settings_of(self.plan.senders, me)
+        told = replace(usual, slots=max(usual.slots, ceil(ROOMY * share * BUSY)),
+                       max_open=max(usual.max_open, int(share * HELD)))
         world = World(told, seed * 7919 + me, None, self.members, lambda h: int(h.split("-")[0]))
         world.lines, world.alive = Lines(told.idle_close - 0.75), self.registry.alive
         world.count, world.marked = partial(self._count, me), partial(self._marked, me)
