Count what is denied for want of a list as every other message that came

Seen in reading the change: `Sender._ask` answered -BUSY before the message was counted as come and its class was set, so that `open_requests` fell below zero and the first class had it as throttled. Change: it is answered after that. A story with the operators' figures fails without it; the operators' stories pass.

--- a/linkdock/sender.py
+++ b/linkdock/sender.py
@@ -89,12 +89,9 @@
     def _ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
         if cls not in self._config.classes:
             raise Refused("unknown class")
-        if not self._table.knows(destination):
-            if self._table.told:
-                raise Refused("unknown destination")
-            # Danger: no list has come yet. Nobody can say that there is no such destination.
-            self._say(request, Busy(NO_LIST))
-            return
+        unknown = not self._table.knows(destination)
+        if unknown and self._table.told:
+            raise Refused("unknown destination")
         if left > 2 * self._config.settings.classes[self._config.classes[cls]].deadline:
             raise Refused("d is beyond the deadline of its class")
         if self._clock() < self._fresh_from:
@@ -113,6 +110,10 @@
         key = self._order_key(request)
         if self.figures is not None:
             self.figures.came += 1
+        if unknown:
+            # Danger: no list has come yet. Nobody can say that there is no such destination.
+            self._say(request, Busy(NO_LIST))
+            return
         if self.duty is not None and self.duty.denies(self._clock()):
             self._say(request, Busy(self.duty.again))
             return
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -4,6 +4,7 @@
 
 import pytest
 from peers import Backend, Discovery
+from test_operations import figures, ops
 from test_stories import socket_that_is_called
 
 from linkdock.state.asking import AGENT, MOVED, Asking
@@ -115,6 +116,14 @@
     assert client.enqueue("ab01", dest=99).startswith("-ERR")   # now it is known what there is
 
 
+def test_what_is_denied_for_want_of_a_list_is_counted_once(start):
+    program = start([Backend("s1")], known={}, admin="127.0.0.1:0")
+    for n in range(3):
+        assert program.client().enqueue(f"aa0{n}", "order", 16000) == "-BUSY 1000"
+    said = figures(program)
+    assert ops(said, "order", "throttled") == 3 and said["edge_relay_open_requests"] == 0
+
+
 def test_what_an_earlier_life_owes_outlasts_a_start_without_a_list(start):
     server = Backend("s1")
     program = start([server])
