--- a/linkdock/lab/fleet.py
+++ b/linkdock/lab/fleet.py
@@ -9,7 +9,7 @@
 
 import statistics
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from random import Random
 from typing import Annotated
@@ -140,14 +140,21 @@
     return report
 
 
+def played(plan: msgspec.Struct, stories: Iterable[str], story: Callable[..., dict],
+           said: Callable[[str], None]) -> Iterator[tuple[str, list[dict]]]:
+    """Each story over all seeds of the plan, in as many processes as it says."""
+    seeds = range(plan.first_seed, plan.first_seed + plan.seeds)
+    with ProcessPoolExecutor(plan.jobs) as jobs:
+        for name in stories:
+            said(f"{name}, {plan.seeds} seeds")
+            yield name, list(jobs.map(story, [plan] * plan.seeds, seeds, [name] * plan.seeds))
+
+
 def run(plan: Plan, said: Callable[[str], None] = lambda text: None) -> dict:
     """The whole experiment: every story over all seeds; medians with their spread."""
     plan.check()
-    seeds, report = range(plan.first_seed, plan.first_seed + plan.seeds), {"plan": msgspec.to_builtins(plan)}
-    with ProcessPoolExecutor(plan.jobs) as jobs:
-        for name in STORIES:
-            said(f"{name}, {plan.seeds} seeds")
-            runs = list(jobs.map(story, [plan] * plan.seeds, seeds, [name] * plan.seeds))
-            report[name] = spread(runs)
-            report[name]["seeds that broke the rule"] = [one["seed"] for one in runs if one["rule broken"]]
+    report = {"plan": msgspec.to_builtins(plan)}
+    for name, runs in played(plan, STORIES, story, said):
+        report[name] = spread(runs)
+        report[name]["seeds that broke the rule"] = [one["seed"] for one in runs if one["rule broken"]]
     return report
--- a/linkdock/lab/grown.py
+++ b/linkdock/lab/grown.py
@@ -12,7 +12,6 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 from functools import partial
 from math import ceil
@@ -23,7 +22,7 @@
 
 from .. import interface as i
 from ..state.asking import AGENT, Asking
-from .fleet import Positive, settings_of, spread, watched
+from .fleet import Positive, played, settings_of, spread, watched
 from .members import Member, Rules
 from .registry import Registry
 from .virtual import Lines, World
@@ -258,12 +257,9 @@
 def run(plan: Plan, said: Callable[[str], None] = lambda text: None) -> dict:
     """The whole experiment: every story over all seeds, medians with their spread, and the first seed's tables."""
     plan.check()
-    seeds, report = range(plan.first_seed, plan.first_seed + plan.seeds), {"plan": msgspec.to_builtins(plan)}
-    with ProcessPoolExecutor(plan.jobs) as jobs:
-        for name in STORIES:
-            said(f"{name}, {plan.seeds} seeds")
-            runs = list(jobs.map(story, [plan] * plan.seeds, seeds, [name] * plan.seeds))
-            report[name] = spread(runs)
-            tables = story(plan, plan.first_seed, name, tables=True)
-            report[name]["first seed"] = {key: tables[key] for key in TABLES}
+    report = {"plan": msgspec.to_builtins(plan)}
+    for name, runs in played(plan, STORIES, story, said):
+        report[name] = spread(runs)
+        tables = story(plan, plan.first_seed, name, tables=True)
+        report[name]["first seed"] = {key: tables[key] for key in TABLES}
     return report
