Read discovery's lists also where they come indented, which ended every watch before

Excluded: the rows' reader (read_row never saw them), the answer's chunks (parsed before). At fault: ListReader._begin, _rows and _tail in protocol/listing.py, which took the first line end for the object's end. Change: an object ends with its brace; what cannot be read is told from half a value by where it fails, by an empty line in it, and by the bounds as before.

--- a/linkdock/protocol/listing.py
+++ b/linkdock/protocol/listing.py
@@ -15,6 +15,8 @@
 MOST_REST = 64 * 1024   # and of a line besides its rows
 _HOSTS = re.compile(r'"hosts"\s*:\s*\[')
 _BETWEEN = re.compile(r"[\s,]*")
+_EMPTY = re.compile(r"\n[ \t\r]*\n")
+_WORDS, _NUMBER = ("true", "false", "null", "NaN", "Infinity", "-Infinity"), re.compile(r"\.|[eE][+-]?")
 _DECODER = json.JSONDecoder()
 
 
@@ -57,24 +59,27 @@
         return parts
 
     def _begin(self, parts: list) -> bool:
-        """Up to the first row. An empty line says that nothing changed."""
-        found, end = _HOSTS.search(self._text), self._text.find("\n")
-        if found is not None and (end < 0 or found.start() < end):
-            self._head, self._text = self._text[:found.end()], self._text[found.end():]
-            if len(self._head) > MOST_REST:
-                raise BadList("a line that is too long before its rows")
-            told = re.search(r'"whole"\s*:\s*(true|false)', self._head)
-            self._whole = None if told is None else told[1] == "true"
-            self._step = self._rows
-            return True
-        if end >= 0:
-            line, self._text = self._text[:end].strip(), self._text[end + 1:]
-            if line:
-                raise BadList(f"no list of hosts: {line[:60]!r}")
-            return True
-        if len(self._text) > MOST_REST:
-            raise BadList("a line without end")
-        return False
+        """Up to the first row. Between objects there are but line ends: empty lines say that nothing changed."""
+        text = self._text = self._text.lstrip()
+        if not text:
+            return False
+        if text[0] != "{":
+            raise BadList(f"no list of hosts: {text[:60]!r}")
+        found = _HOSTS.search(text)
+        if found is None:
+            _, end = self._decoded(text, MOST_REST)
+            if end:
+                raise BadList(f"no list of hosts: {text[:60]!r}")
+            return False
+        self._head, self._text = text[:found.end()], text[found.end():]
+        if len(self._head) > MOST_REST:
+            raise BadList("a line that is too long before its rows")
+        try:
+            self._whole = json.loads(self._head + "]}").get("whole")
+        except (ValueError, RecursionError) as bad:
+            raise BadList(f"no list: {bad}") from None
+        self._step = self._rows
+        return True
 
     def _rows(self, parts: list) -> bool:
         rows, at, text = [], 0, self._text
@@ -86,14 +91,8 @@
                 if text[at] == "]":
                     self._step = self._tail
                     return True
-                try:
-                    row, end = _DECODER.raw_decode(text, at)
-                except (ValueError, RecursionError):
-                    # Danger: half a row and a row that cannot be read look alike; only the line's end tells.
-                    if "\n" in text[at:] or len(text) - at > MOST_ROW:
-                        raise BadList(f"a row that cannot be read: {text[at:at + 60]!r}") from None
-                    return False
-                if end == len(text) and not isinstance(row, dict):
+                row, end = self._decoded(text, MOST_ROW, at)
+                if not end or end == len(text) and not isinstance(row, dict):
                     return False   # a number may go on
                 rows.append(row)
                 at = end
@@ -103,19 +102,32 @@
                 parts.append(Rows(rows, self._whole))
 
     def _tail(self, parts: list) -> bool:
-        end = self._text.find("\n")
-        if end < 0:
-            if len(self._text) > MOST_REST:
-                raise BadList("a line without end")
+        told, end = self._decoded(self._head + self._text, len(self._head) + MOST_REST)
+        if not end:
             return False
-        line, self._text = self._head + self._text[:end], self._text[end + 1:]
-        try:
-            told = json.loads(line)
-        except (ValueError, RecursionError) as bad:
-            raise BadList(f"no list: {bad}") from None
+        self._text = self._text[end - len(self._head):]
         version = told.get("seq", 0)
         if not isinstance(version, int) or isinstance(version, bool):
             raise BadList("seq is no whole number")
         self._step, self._whole = self._begin, None
         parts.append(Told(bool(told.get("whole")), version))
         return True
+
+    @staticmethod
+    def _decoded(text: str, most: int, at: int = 0) -> tuple[object, int]:
+        """The value that begins there, and its end; 0 while it may still go on. Lists may come indented.
+
+        Danger: half a value and one that cannot be read look alike. No value has an empty line in it, none is longer
+        than `most`, and half a one fails at its end.
+        """
+        try:
+            return _DECODER.raw_decode(text, at)
+        except RecursionError:
+            raise BadList(f"what is nested too deep: {text[at:at + 60]!r}") from None
+        except json.JSONDecodeError as bad:
+            rest = text[bad.pos:].strip()
+            half = (bad.msg.startswith("Unterminated") or any(word.startswith(rest) for word in _WORDS)
+                    or _NUMBER.fullmatch(rest) or "escape" in bad.msg and len(text) - bad.pos < 8)
+            if not half or "control" in bad.msg or len(text) - at > most or _EMPTY.search(text, at):
+                raise BadList(f"what cannot be read: {text[at:at + 60]!r}") from None
+            return None, 0
