Heed the agent's list from a process's first moment and right after an outage

Seen: two stories on loopback. A process that starts with owed messages sent them in its first tick to a server that its agent listed as draining: the configuration's known list was older. And where the agent is silent while discovery is down, an ask made in the outage was kept for 2.8 s after its end; a drain binds 2 s after the agent has it. Both fail without this change. Excluded: the decisions (they had not been told), SIGHUP (news within 2 s of 4), lists that are asked for (nothing is pushed; unchanged). At fault: Process._beat, which decided before the first answer could be read; Watch._watch, which gave a first byte as long as the next empty line. Change: where lists are pushed, decisions wait for the agent's first answer, 0.2 s at the most; an ask without any answer is given up after 0.5 s, for 64 on end. One story waits until the first 50 ms of its process are over.

--- a/linkdock/lab/members.py
+++ b/linkdock/lab/members.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from math import sqrt
 from random import Random
 from typing import NamedTuple
 
@@ -58,6 +59,7 @@
     broken: int = 0                   # of these by senders two thirds of whose calls knew of the outage
     outages: int = 0
     most_over: float = 0.0            # the highest share of what it could take in a window of the rule, when cold
+    most_told: float = 0.0            # and of N + 3 x root of N + 3, from senders that knew; N is what it could take
     calls: int = 0
     served: int = 0
     _tokens: float = 1.0
@@ -143,7 +145,9 @@
         most = self.rules.fall_multiple * present * span
         if len(window) > 1:
             self.most_over = max(self.most_over, len(window) / most)
+        told = sum(known for _, known in window)
+        self.most_told = max(self.most_told, told / (most + 3 * sqrt(most) + 3))
         if len(window) <= max(1.0, most):
             return False
-        self.broken += 3 * sum(known for _, known in window) >= 2 * len(window)
+        self.broken += 3 * told >= 2 * len(window)
         return True
--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -11,7 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..facade import Server
-from ..state.asking import Asking
+from ..state.asking import SILENCE, Asking
 from ..state.roster import Roster
 from ..state.wheel import Timer, Wheel
 from . import http
@@ -19,7 +19,6 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE = 2.8    # an empty line comes every 2 s; without any the watch is dead, whatever TCP thinks
 # Bytes that are read between two turns of the loop: some 16 rows. Danger: the parts of an index fill evenly and so grow
 # nearly together; a row costs 20 µs mostly, and ten times that then.
 PIECE = 2 * 1024
@@ -146,6 +145,7 @@
         self._desk, self._most_list = desk, most_list
         self._stream: IOStream | None = None
         self._served = self._moved = self._closed = False
+        self.told = False   # whether anything has been told in this life
         self._old = False   # whether the last whole list was older than what is known
         self._resting: Timer | None = None   # until the next ask
         self._rested = asyncio.Event()
@@ -187,7 +187,7 @@
         self._stream = stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM),
                                          max_buffer_size=1 << 20)
         # Danger: discovery that is down stays silent on an open connection, and so does one cut off.
-        timer = self._wheel.after(SILENCE, stream.close)
+        timer = self._wheel.after(self._asking.patience(), stream.close)
         try:
             await stream.connect(self._dial)
             path = f"/api/targets?watch=1&from={self._version()}"
@@ -215,7 +215,7 @@
                 staging.rows(read_rows(part.rows, self._zones, self._kinds), part.whole)
             else:
                 staging.told(part.whole, part.version)
-                self._old = False
+                self._old, self.told = False, True
 
     def move(self, dial: tuple[str, int]) -> None:
         """Discovery has another address: the watch goes on there, from the version that is known."""
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -46,6 +46,7 @@
 TIDY_EVERY = 5.0        # seconds between looks for what the server table may forget
 LOOK_EVERY = 0.05       # seconds between looks whether it could leave before:
 SIBLING_EVERY = 0.05    # and between looks for the sender's other processes
+FIRST_NEWS = 0.2        # seconds after the start for which decisions wait for the agent's first answer
 MOST_IDLE = 1.0         # seconds without a beat at the most
 LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
 
@@ -134,6 +135,9 @@
             except OSError as bad:
                 raise ConfigError(f"admin_addr: {bad}") from None
         self._due = self._loop.time()   # what came before was the start
+        # Danger: where lists are pushed, what the agent has counts as told from a process's first moment. What is owed
+        # would go to a server that has drained since the known list was written.
+        self._blind_until = self._due if config.paid_news else self._due + FIRST_NEWS
         self.sender.started()
         self.frontend.observer = self._observer
         if self._clients is not None:
@@ -258,17 +262,19 @@
         now = self._loop.time()
         self._hold = max(self._hold, now - self._due)
         self._next = None
+        blind = not self._watch.told and now < self._blind_until
         try:
             self._wheel.advance(now)
             if self._shift is not None:
                 self._shift.beat()
-            self.sender.beat()
+            if not blind:
+                self.sender.beat()
         except Exception as bad:
             # What the decisions hold is not to be trusted any more; the journal is, and a restart reads it.
             log.exception("a tick failed")
             self._failed = self._failed or bad
             self._stop.set()
-        due = min(self._facade.next_due(), self._wheel.next_due())
+        due = min(self._blind_until if blind else self._facade.next_due(), self._wheel.next_due())
         if self._shift is not None and self._shift.beside:
             due = now   # what the other one tells comes at any time
         if self._ended:
--- a/linkdock/state/asking.py
+++ b/linkdock/state/asking.py
@@ -9,6 +9,9 @@
 from random import Random
 
 AGENT = 0.2         # seconds between asks of the agent
+PROMPT = 0.5        # and until it has begun to answer, which it does at once unless discovery is down
+MOST_PROMPT = 64    # asks on end that may go unanswered before it is given as long as any other:
+SILENCE = 2.8       # an empty line comes every 2 s; without any the watch is dead, whatever TCP thinks
 EACH = 0.08         # seconds that each sender adds to the span of the first asks: 40 over 2.5 s had 12 turned away
 FIRST = 1 / 8       # first pause after a refusal, in told periods; it doubles
 MOST = 1 / 2        # up to this, which by chance half to one and a half times stays inside the period
@@ -38,15 +41,24 @@
 
     def again(self, served: bool) -> float:
         """Until the next ask after one that ended; `served`: it had brought news."""
-        if not self._paid:
-            return AGENT
         if served:
             self._refused = 0
             return AGENT + self.first()
+        if not self._paid:
+            self._refused += 1
+            return AGENT
         pause = min(MOST, FIRST * 2 ** min(self._refused, 8)) * self._within
         self._refused += 1
         return pause * self._random.uniform(0.5, 1.5)
 
+    def patience(self) -> float:
+        """Until an ask without any answer is given up.
+
+        Danger: what the agent has counts as told, also right after an outage of discovery. An ask from before its end
+        may stay silent for ever, and the news behind it would be heard too late for the rule on drains.
+        """
+        return SILENCE if self._paid or self._refused > MOST_PROMPT else PROMPT
+
     def moved(self) -> float:
         """Until the first ask at another address, which all of the fleet are told of at once."""
         self._refused = 0
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -38,6 +38,7 @@
 def test_a_message_is_taken_then_delivered_and_nothing_is_owed(start):
     server = Backend("s1")
     program = start([server])
+    program.settle()
     client = program.client()
     assert client.enqueue("aa01", body=b"\0\r\n\xff") == "+OK"
     line, (first, headers, body) = server.take()
