--- a/linkdock/connections/pool.py
+++ b/linkdock/connections/pool.py
@@ -7,6 +7,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from ..errors import LinkdockError
 from ..protocol.streams import seen, silent
 from ..state.wheel import Timer, Wheel
 from . import FRESH
@@ -15,9 +16,13 @@
 BEHIND = 0.01         # seconds after an answer in which more than belongs to it may still come
 
 
-class PoolFull(Exception):
+class PoolFull(LinkdockError):
     """Every connection that this process may open is in use, or the system has no descriptor for one."""
 
+    code = "LD-POOL-FULL"
+    what = "every connection to backend servers that may be open is in use, or no descriptor is left"
+    remedy = "Raise limits.sockets and the system's limit of open files with it, or spread the load over more senders"
+
 
 class Connection:
     """One connection to a backend server, owned by the pool while idle and by one call while in use."""
--- a/linkdock/console/main.py
+++ b/linkdock/console/main.py
@@ -12,6 +12,7 @@
 import click
 
 from .. import __version__
+from .refusals import MissingPackages, NothingFound, refusal
 from .undeliverable import undeliverable
 
 USAGE = 2
@@ -51,12 +52,12 @@
     try:
         report, story = judge(read(list(files), passed), passed, message)
     except ReadError as bad:
-        raise click.UsageError(str(bad)) from None
+        raise refusal(bad) from None
     if not report["senders"]:
-        raise click.UsageError(f"no event in {', '.join(map(str, files))}"
-                               + (f"; {passed.named[0]}" if passed.named else ""))
+        raise refusal(NothingFound(f"no event in {', '.join(map(str, files))}"
+                                   + (f"; {passed.named[0]}" if passed.named else "")))
     if message is not None and not story:
-        raise click.UsageError(f"no event of message {message}")
+        raise refusal(NothingFound(f"no event of message {message}"))
     report["found"], cut = report["found"][:most], len(report["found"][most:]) + report["unnamed"]
     report["unnamed"] = cut
     if as_json:
@@ -91,11 +92,11 @@
     try:
         view = importlib.import_module(f"..{package}.view", __package__)
     except ImportError as bad:
-        raise click.UsageError(f"needs the packages of requirements-console.txt: {bad}") from None
+        raise refusal(MissingPackages("requirements-console.txt", bad)) from None
     try:
         told = view.read(file, *more)
     except ValueError as bad:
-        raise click.UsageError(str(bad)) from None
+        raise refusal(bad) from None
     if as_json:
         say_json(view.plain(told))
     else:
@@ -126,7 +127,7 @@
         from ..lab import idle as experiment
         from ..lab import results
     except ImportError as bad:
-        raise click.UsageError(f"the laboratory needs the packages of requirements-lab.txt: {bad}") from None
+        raise refusal(MissingPackages("requirements-lab.txt", bad, "the laboratory")) from None
     options = {"destinations": destinations, "wake": wake, "seeds": seeds, "process": process,
                "jobs": jobs}
     try:
@@ -134,7 +135,7 @@
         for path in (table, plot):
             results.can_write(path)
     except ValueError as bad:
-        raise click.UsageError(str(bad)) from None
+        raise refusal(bad) from None
     with results.progress(not as_json) as said:
         report = experiment.run(plan, said)
     if table is not None:
@@ -216,11 +217,11 @@
         experiment = importlib.import_module(f"..lab.{name}", __package__)
         from ..lab import results
     except ImportError as bad:
-        raise click.UsageError(f"the laboratory needs the packages of requirements-lab.txt: {bad}") from None
+        raise refusal(MissingPackages("requirements-lab.txt", bad, "the laboratory")) from None
     try:
         plan = results.read_plan(file, experiment.Plan, {k: v for k, v in options.items() if v is not None})
     except ValueError as bad:
-        raise click.UsageError(str(bad)) from None
+        raise refusal(bad) from None
     with results.progress(not as_json) as said:
         say_json(experiment.run(plan, said))
 
--- a/linkdock/dormancy/snapshot.py
+++ b/linkdock/dormancy/snapshot.py
@@ -13,6 +13,7 @@
 import zlib
 from collections.abc import Iterable, Iterator
 
+from ..errors import LinkdockError
 from .memory import FIGURES, HEAD, LINK, MOST_AGE
 
 MAGIC = b"lkdrmcy\0"
@@ -25,9 +26,13 @@
 MOST_ROW = 16 * 1024
 
 
-class SnapshotError(ValueError):
+class SnapshotError(LinkdockError, ValueError):
     """A snapshot that must not be used; the text says why."""
 
+    code = "LD-SNAPSHOT"
+    what = "the snapshot of what was learned must not be used; the sender starts without"
+    remedy = "Nothing need be done: a new one is written; if it comes at each start, look at the disk and the clock"
+
 
 def classes_mark(names: Iterable[str]) -> int:
     """Figures by class mean nothing under other classes."""
--- a/linkdock/lab/results.py
+++ b/linkdock/lab/results.py
@@ -10,33 +10,43 @@
 
 import msgspec
 
+from ..errors import LinkdockError
+
+
+class PlanError(LinkdockError, ValueError):
+    """A plan that cannot be played, or a result that could not be written. The text names file and key."""
+
+    code = "LD-LAB-PLAN"
+    what = "an experiment's plan cannot be played, or its result could not be written"
+    remedy = "Correct the key or the path that the line names; `linkdock lab EXPERIMENT --help` lists the options"
+
 
 def read_plan(path: Path | None, shape: type, options: dict) -> object:
-    """A plan from a file and options, which go before it. Raises ValueError that names file and key."""
+    """A plan from a file and options, which go before it. Raises PlanError that names file and key."""
     told: dict = {}
     if path is not None:
         try:
             told = msgspec.json.decode(path.read_bytes())
         except OSError as bad:
-            raise ValueError(f"{path}: {bad.strerror}") from None
+            raise PlanError(f"{path}: {bad.strerror}") from None
         except msgspec.DecodeError as bad:
-            raise ValueError(f"{path}: no JSON: {bad}") from None
+            raise PlanError(f"{path}: no JSON: {bad}") from None
         if not isinstance(told, dict):
-            raise ValueError(f"{path}: must be an object")
+            raise PlanError(f"{path}: must be an object")
     try:
         plan = msgspec.convert({**told, **options}, shape)
         plan.check()
     except msgspec.ValidationError as bad:
-        raise ValueError(f"{path or 'options'}: {bad}") from None
+        raise PlanError(f"{path or 'options'}: {bad}") from None
     except ValueError as bad:
-        raise ValueError(f"{path or 'options'}: {bad}") from None
+        raise PlanError(f"{path or 'options'}: {bad}") from None
     return plan
 
 
 def can_write(path: Path | None) -> None:
-    """Before hours of work: whether its result can be written. Raises ValueError."""
+    """Before hours of work: whether its result can be written. Raises PlanError."""
     if path is not None and (not path.parent.is_dir() or not os.access(path.parent, os.W_OK) or path.is_dir()):
-        raise ValueError(f"{path}: cannot be written")
+        raise PlanError(f"{path}: cannot be written")
 
 
 @contextlib.contextmanager
--- a/linkdock/options.py
+++ b/linkdock/options.py
@@ -11,12 +11,18 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+from .errors import LinkdockError
+
 FOLDER = Path(__file__).parent.parent / "deploy"
 
 
-class OptionError(ValueError):
+class OptionError(LinkdockError, ValueError):
     """A file that cannot be read, or a key in it that cannot be right. The text names both."""
 
+    code = "LD-OPTION"
+    what = "a file under deploy/ cannot be read, or a key in it cannot be right"
+    remedy = "Correct what the line names by that file's schema in deploy/schema, or set `on` to false, and start again"
+
 
 def path_of(name: str, environ: Mapping[str, str] = os.environ) -> Path:
     return Path(environ.get("LINKDOCK_DEPLOY") or FOLDER) / f"{name}.json"
--- a/linkdock/protocol/admin.py
+++ b/linkdock/protocol/admin.py
@@ -16,6 +16,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
+from ..errors import LinkdockError, log_line
 from ..state.wheel import Wheel
 from .listening import Listener
 
@@ -29,9 +30,13 @@
 ID = re.compile(r"[!-~]{1,200}\Z")
 
 
-class Refusal(Exception):
+class Refusal(LinkdockError):
     """A call that is answered with a no, and its cause."""
 
+    code = "LD-OPERATOR-NO"
+    what = "an operator's call was answered with a no; nothing has changed"
+    remedy = "Do what the answer says is wanting, and call again; `status` tells the duty and `stats` the figures"
+
 
 class Desk(Protocol):
     """Who carries the calls out. Each raises Refusal for a no, and returns what the yes says."""
@@ -74,6 +79,8 @@
     try:
         said = getattr(desk, method)(*rest)
     except Refusal as why:
+        if name != "status":   # Danger: on standby it says no as often as anybody looks
+            log.info("the call %s: %s", name, log_line(why))
         return f"-ERR {why}\n".encode()
     except Exception:
         log.exception("the call %s failed", name)
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -13,6 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..connections.pool import BUFFER, Connection, ConnectionPool, PoolFull
+from ..errors import log_line
 from ..facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, TURNED_AWAY, Item
 from ..facade import Dispatch as Order
 from ..state.requests import Request
@@ -174,7 +175,7 @@
             elif self._up and self.items and not self._parser.read and self._b.kept is not None:
                 self._b.kept.used(self._connection, False)   # given up by nobody here, and nothing came on it
         except http.BadAnswer as bad:
-            log.warning("backend server %s: %s", self.server, bad)
+            log.warning("backend server %s: %s", self.server, log_line(bad))
             how = ERROR
         finally:
             for request in list(self.items):
@@ -371,11 +372,11 @@
         try:
             lines = json.loads(body)
             if not isinstance(lines, list) or not all(STATES[line["state"]] for line in lines):
-                raise ValueError("no list of states")
+                raise http.BadAnswer("no list of states")
             states = {str(line["id"]): line["state"] for line in lines}
         except (ValueError, TypeError, KeyError, RecursionError) as bad:
             # Danger: any JSON may come. An item without a state that can be read may have run.
-            log.warning("backend server %s: batch answer: %s", self.server, bad)
+            log.warning("backend server %s: %s", self.server, log_line(http.BadAnswer(f"batch answer: {bad}")))
         for request in list(self.items):
             state = states.get(request)
             self._end(request, STATES.get(state, ERROR), **more, over=state in ("void", "used_up"),
--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -10,12 +10,13 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from ..errors import LinkdockError, log_line
 from ..facade import Server
 from ..state.asking import Asking
 from ..state.roster import Roster
 from ..state.wheel import Timer, Wheel
 from . import http
-from .listing import ListReader, Rows
+from .listing import BadList, ListReader, Rows
 
 log = logging.getLogger(__name__)
 
@@ -29,18 +30,34 @@
 MOST_PASSED = 20          # rows of one line that cannot be read and are named in the log
 
 
+class BadRow(LinkdockError, ValueError):
+    """A row of a list that cannot be read."""
+
+    code = "LD-DISCOVERY-ROW"
+    what = "a row of discovery's list cannot be read and is passed over"
+    remedy = "Correct the row where the list is made; until then the sender goes on without it"
+
+
+class LongList(LinkdockError):
+    """A whole list that is longer than there is room for."""
+
+    code = "LD-DISCOVERY-LONG"
+    what = "a whole list does not fit into a tenth of the memory, and is refused"
+    remedy = "Raise limits.memory_mb and restart, or shorten the list; meanwhile calls go by the list before"
+
+
 def read_row(row: object, zones: list[str], kinds: list[str]) -> Server:
     """One line of a list. Raises ValueError, KeyError, TypeError or AttributeError for one that cannot be read."""
     address, _, port = row["dial"].rpartition(":")
     health = row["health"]
     if health not in ("ready", "draining", "gone"):
-        raise ValueError(f"health {health!r}")
+        raise BadRow(f"health {health!r}")
     number = int(port)
     if not 0 <= number <= 65535:
-        raise ValueError(f"port {port}")
+        raise BadRow(f"port {port}")
     destination = int(row["block"])
     if not -(1 << 63) <= destination < 1 << 63:
-        raise ValueError(f"block {destination}")
+        raise BadRow(f"block {destination}")
     return Server(
         str(row["host"]), (address, number), destination, health,
         kinds.index(row["class"]) if row["class"] in kinds else 0,
@@ -57,7 +74,7 @@
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as bad:
             passed += 1
             if passed <= MOST_PASSED:
-                log.warning("discovery: a line was passed over: %.200r: %s", row, bad)
+                log.warning("discovery: %s", log_line(BadRow(f"a line was passed over: {row!r:.200}: {bad}")))
     if passed > MOST_PASSED:
         log.warning("discovery: %d lines were passed over in all", passed)
     return servers
@@ -66,16 +83,20 @@
 def read_news(told: object, zones: list[str], kinds: list[str]) -> tuple[bool, list[Server], int]:
     """A list as the configuration holds it: whether it is whole, its rows, its version."""
     if not isinstance(told, dict) or not isinstance(told.get("hosts"), list):
-        raise ValueError("no list of hosts")
+        raise BadList("no list of hosts")
     servers = read_rows(told["hosts"], zones, kinds)
     if not isinstance(told.get("seq", 0), int):
-        raise ValueError("seq is no whole number")
+        raise BadList("seq is no whole number")
     return bool(told.get("whole")), servers, told.get("seq", 0)
 
 
-class OldList(ValueError):
+class OldList(LinkdockError, ValueError):
     """A whole list of a version before the one that is known."""
 
+    code = "LD-DISCOVERY-OLD"
+    what = "discovery told a whole list of a version before the one that is known"
+    remedy = "Look at discovery's replicas if it comes again; the list counts once it is told a second time"
+
 
 class Desk(Protocol):
     """Who takes the news."""
@@ -119,7 +140,7 @@
 
     def _refuse(self, why: str) -> None:
         """Danger: half a list in force. What cannot be held whole is not taken at all."""
-        log.error("discovery: a whole list was refused: %s; the list in force stays", why)
+        log.error("discovery: %s", log_line(LongList(f"a whole list was refused: {why}; the list in force stays")))
         self._refused, self._roster, self._untold = True, None, []
 
     def told(self, whole: bool, version: int) -> None:
@@ -128,7 +149,7 @@
             self.rows(untold, whole)
         if not self._refused:
             if whole and version < self._oldest:
-                raise OldList(version)
+                raise OldList(f"a whole list of version {version} is older than {self._oldest}")
             if whole:
                 self._desk.whole(self._roster or Roster(), version)
             else:
@@ -160,11 +181,10 @@
                 # Danger: a replica that lags would bring back what drains or is gone. Told once more it is no lag:
                 # discovery has begun anew.
                 self._old = True
-                log.warning("discovery: a whole list of version %s is older than %d; it is asked once more", old,
-                            self._version())
+                log.warning("discovery: %s", log_line(old))
             except (StreamClosedError, OSError, http.BadAnswer, ValueError) as bad:
                 if not self._closed:
-                    log.info("discovery: watch ended: %s", bad)
+                    log.info("discovery: watch ended: %s", log_line(bad))
             except Exception:
                 log.exception("discovery: the watch failed and is opened again")
             finally:
--- a/linkdock/protocol/http.py
+++ b/linkdock/protocol/http.py
@@ -5,6 +5,8 @@
 import re
 from typing import NamedTuple
 
+from ..errors import LinkdockError
+
 MOST_HEAD = 16 * 1024
 START = b"HTTP/1."
 # Danger: `isdigit` and `int` take signs, underscores and digits of other scripts.
@@ -14,9 +16,13 @@
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?\Z")
 
 
-class BadAnswer(ValueError):
+class BadAnswer(LinkdockError, ValueError):
     """The bytes are no HTTP/1.1 answer that can be read."""
 
+    code = "LD-HTTP-ANSWER"
+    what = "a peer's HTTP answer cannot be read, or is not the one that was asked for"
+    remedy = "Look at the peer that the line names: what answers at its address, and its own log"
+
 
 class Head(NamedTuple):
     """Status line and headers, names in lower case."""
--- a/linkdock/protocol/listing.py
+++ b/linkdock/protocol/listing.py
@@ -11,6 +11,8 @@
 import re
 from typing import NamedTuple
 
+from ..errors import LinkdockError
+
 MOST_ROW = 16 * 1024    # characters of one row
 MOST_REST = 64 * 1024   # and of a line besides its rows
 _HOSTS = re.compile(r'"hosts"\s*:\s*\[')
@@ -18,9 +20,13 @@
 _DECODER = json.JSONDecoder()
 
 
-class BadList(ValueError):
+class BadList(LinkdockError, ValueError):
     """Bytes that are no list. What follows them cannot be read either."""
 
+    code = "LD-DISCOVERY-LIST"
+    what = "what came is no list of hosts"
+    remedy = "Look at what answers at discovery's address; the list in force stays, and the watch is opened again"
+
 
 class Rows(NamedTuple):
     """Some rows of the line that is being read; `whole` as far as the line has told it yet."""
--- a/linkdock/protocol/notices.py
+++ b/linkdock/protocol/notices.py
@@ -11,6 +11,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from ..errors import log_line
 from ..state.wheel import Wheel
 from . import http
 
@@ -63,7 +64,7 @@
                 status = await self._send(b"".join(self._owed[r] for r in batch))
             except (StreamClosedError, OSError, http.BadAnswer) as bad:
                 status = 0
-                log.info("notices: not confirmed: %s", bad)
+                log.info("notices: not confirmed: %s", log_line(bad))
             except Exception:
                 status = 0
                 log.exception("notices: a post failed and is made again")
--- a/linkdock/protocol/resp.py
+++ b/linkdock/protocol/resp.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from ..errors import LinkdockError
+
 MOST_WORD = 64 * 1024      # bytes of one word, as of a body
 MOST_COMMAND = 65 * 1024   # and of all words of one command
 MOST_WORDS = 64
@@ -11,13 +13,21 @@
 MOST_SKIP = 256 * 1024      # bytes of an oversize word that are passed over to reach the next command
 
 
-class Malformed(ValueError):
+class Malformed(LinkdockError, ValueError):
     """The bytes are no command. What follows them cannot be read either."""
 
+    code = "LD-CLIENT-MALFORMED"
+    what = "a client's bytes are no RESP2 command; it heard so, and its connection was closed"
+    remedy = "Look at that client: what it speaks, and whether it sends anything before its answer"
+
 
-class Oversize(ValueError):
+class Oversize(LinkdockError, ValueError):
     """A command that is too long. It is said once, at once; the rest is skipped, and the next can be read."""
 
+    code = "LD-CLIENT-OVERSIZE"
+    what = "a client's command is longer than 64 KiB; it heard so, and nothing was taken"
+    remedy = "Have that client send shorter bodies; the bound is fixed"
+
 
 class CommandParser:
     """Feed it bytes; `next` gives a whole command as a list of words, or None until more bytes come."""
--- a/linkdock/records/reading.py
+++ b/linkdock/records/reading.py
@@ -13,15 +13,20 @@
 
 import msgspec
 
+from ..errors import LinkdockError
 from .events import FORMAT, STARTED
 
 MOST_LINE = 1 << 20   # bytes; a longer one is no event of ours
 MOST_NAMED = 20       # lines that could not be read and are named one by one
 
 
-class ReadError(ValueError):
+class ReadError(LinkdockError, ValueError):
     """A file that cannot be opened."""
 
+    code = "LD-RECORDS-READ"
+    what = "a record file cannot be opened or read"
+    remedy = "Name files that are there and that you may read; `file` in records.json says where they are written"
+
 
 class Place(NamedTuple):
     file: str
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 from pathlib import Path
 
+from ..errors import LinkdockError, log_line
 from ..interface import DestinationKind, Effect, MessageClass, Settings
 
 log = logging.getLogger(__name__)
@@ -18,9 +19,13 @@
 EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
 
 
-class ConfigError(ValueError):
+class ConfigError(LinkdockError, ValueError):
     """A key that is missing or cannot be right."""
 
+    code = "LD-CONFIG"
+    what = "a key, variable, file or address that a sender is told is missing or cannot be right"
+    remedy = "Correct what the line names, and start or reload again"
+
 
 @dataclass(frozen=True)
 class Config:
@@ -181,7 +186,7 @@
     try:
         new = load(environ)
     except (ConfigError, RecursionError) as bad:
-        log.error("reload: the old configuration stays: %s", bad)
+        log.error("reload: the old configuration stays: %s", log_line(bad))
         return old
     for key in vars(old):
         if key not in ("discovery", "seed", "known") and getattr(new, key) != getattr(old, key):
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -13,6 +13,7 @@
 from tornado.netutil import bind_sockets
 
 from ..connections.pool import ConnectionPool
+from ..errors import LinkdockError, exit_line
 from ..facade import Facade, Table
 from ..options import OptionError, switched_on
 from ..protocol.calls import Backend
@@ -379,8 +380,8 @@
                         format="%(asctime)s %(name)s %(levelname)s %(message)s")
     try:
         return asyncio.run(_run(load()))
-    except ConfigError as bad:
-        print(f"linkdock: {bad}", file=sys.stderr)
+    except LinkdockError as bad:
+        print(f"linkdock: {exit_line(bad)}", file=sys.stderr)
         return 2
 
 
--- a/linkdock/state/requests.py
+++ b/linkdock/state/requests.py
@@ -6,10 +6,16 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from ..errors import LinkdockError
 
-class Refused(ValueError):
+
+class Refused(LinkdockError, ValueError):
     """A request that can never be taken, with the text for its client."""
 
+    code = "LD-CLIENT-REFUSED"
+    what = "a client's request can never be taken; it heard why"
+    remedy = "Correct the client, or add to the configuration the class or key that it names"
+
 
 # What the `answer` of a request is told, once.
 
--- a/linkdock/state/rotation.py
+++ b/linkdock/state/rotation.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterator
 from pathlib import Path
 
+from ..errors import LinkdockError, log_line
+
 log = logging.getLogger(__name__)
 
 MOST_OUT = 1000
@@ -19,9 +21,21 @@
 VERSION = 1
 
 
-class TooMany(Exception):
+class TooMany(LinkdockError):
     """As many are out as are kept."""
 
+    code = "LD-ROTATION-FULL"
+    what = "as many endpoints are out by hand as are kept"
+    remedy = "Put back with `maint-off` those that may serve again; ids that are long gone are forgotten after 24 h"
+
+
+class RotationError(LinkdockError):
+    """The file of what is out by hand cannot be read or written."""
+
+    code = "LD-ROTATION-FILE"
+    what = "the file of the endpoints that are out by hand cannot be read or written"
+    remedy = "Mend or remove the file and take the endpoints out again with `maint-on`; look at the disk of RELAY_STATE"
+
 
 class Rotation:
     """Owner of the set and its file. Times are Unix time, for they outlast the process."""
@@ -60,7 +74,7 @@
         except FileNotFoundError:
             self._out, self._read_of = {}, ()
         except (OSError, ValueError, TypeError, KeyError, AttributeError, RecursionError) as bad:
-            log.error("%s: endpoints out by hand are not known: %s", self._path, bad)
+            log.error("%s", log_line(RotationError(f"{self._path}: endpoints out by hand are not known: {bad}")))
 
     def take_out(self, name: str) -> bool:
         """Whether it was not out before. Raises TooMany, or OSError where it cannot be kept: nothing has changed."""
@@ -102,4 +116,4 @@
             try:
                 self._write({name: at for name, at in self._out.items() if name not in gone})
             except OSError as bad:
-                log.error("%s: %s", self._path, bad)
+                log.error("%s", log_line(RotationError(f"{self._path}: {bad}")))
--- a/linkdock/undeliverable/store.py
+++ b/linkdock/undeliverable/store.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from ..errors import LinkdockError
 from .facts import ASKED, CLAIMED, DELIVERED, DROPPED, KEPT, Attempt, Message, Statement, in_doubt, may_be_sent_again
 from .settings import Rule, UndeliverableSettings
 
@@ -42,9 +43,13 @@
 COLUMNS = "id, ended, key, cls, destination, until, cause, repeatable, attempts, state, body"
 
 
-class StoreError(Exception):
+class StoreError(LinkdockError):
     """The store cannot be used, or not for this. The text names the file or the message."""
 
+    code = "LD-STORE"
+    what = "the store of undeliverable messages cannot be used, or not for this"
+    remedy = "Look at the file that is named: whether it is a sender's store, may be written, and its disk has room"
+
 
 class Filter(msgspec.Struct, frozen=True, kw_only=True):
     """Which messages; what is None does not matter. Times are seconds of Unix time."""
--- a/linkdock/wire.py
+++ b/linkdock/wire.py
@@ -9,11 +9,16 @@
 from typing import Any
 
 from . import interface as i
+from .errors import LinkdockError
 
 
-class WireError(ValueError):
+class WireError(LinkdockError, ValueError):
     """A frame that is not as the wire's page says."""
 
+    code = "LD-WIRE"
+    what = "the simulator's adapter was sent a frame that is not as the wire's page says"
+    remedy = "Compare the version of the simulator with the one that this adapter was made for"
+
 
 @dataclass(slots=True)
 class Create:
