Part the keeper of connections by what is said, held, lacked and done

Mixins by halves were ruled out: the parts would have known each other in both directions. Instead orders.py has what is asked, ordered and known of one server; stock.py what is held, counted once; ahead.py who lacks connections and who goes without; keeper.py the events, built on the stock. streams.py lies below both sides that use it.

--- a/linkdock/connections/kept.py
+++ b/linkdock/connections/kept.py
@@ -14,11 +14,12 @@
 
 from tornado.iostream import StreamClosedError
 
-from ..protocol.streams import seen, silent
 from ..state.wheel import Wheel
+from ..streams import seen, silent
 from . import view
 from .choice import Choice, ConnectionsSettings
-from .keeper import ROUND, Action, Close, Fail, Keeper, Open, Ticket, Use
+from .keeper import Keeper
+from .orders import ROUND, Action, Close, Fail, Open, Ticket, Use
 from .pool import BEHIND, BUFFER, Connection, PoolFull, new_stream
 
 log = logging.getLogger(__name__)
--- a/linkdock/connections/pool.py
+++ b/linkdock/connections/pool.py
@@ -7,8 +7,8 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from ..protocol.streams import seen, silent
 from ..state.wheel import Timer, Wheel
+from ..streams import seen, silent
 from . import FRESH
 
 BUFFER = 256 * 1024   # of one connection: an answer holds at most a body of 64 KiB and its head
--- a/linkdock/lab/connections.py
+++ b/linkdock/lab/connections.py
@@ -22,7 +22,8 @@
 
 from ..connections import FRESH
 from ..connections.choice import Choice, ConnectionsSettings
-from ..connections.keeper import ROUND, Action, Fail, Keeper, Open, Ticket, Use
+from ..connections.keeper import Keeper
+from ..connections.orders import ROUND, Action, Fail, Open, Ticket, Use
 from .idle import Positive, Seconds
 
 TOLD, MARGIN = 5.0, 0.75   # seconds of idleness that servers tell, and before which idle connections are retired
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -16,10 +16,10 @@
 
 from ..state.requests import Busy, Failed, Refused, Request, Taken
 from ..state.wheel import Wheel
+from ..streams import seen, silent, waiting
 from . import resp
 from .door import BAD, BEGUN, BUSY, IDLE, Door, Place
 from .listening import Listener
-from .streams import seen, silent, waiting
 
 if TYPE_CHECKING:
     from ..admission.gate import Gate
--- a/linkdock/protocol/streams.py
+++ b/linkdock/streams.py
@@ -1,4 +1,4 @@
-"""What the frontend and the calls need of a stream beyond Tornado's own."""
+"""What both sides, clients and backend servers, need of a stream beyond Tornado's own."""
 
 from __future__ import annotations
 
