--- a/linkdock/state/clients.py
+++ b/linkdock/admission/clients.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ..admission import view
-from ..admission.budget import Budget, Held, Parts
-from ..admission.gate import Gate
-from ..admission.settings import read
-from . import statefile
-from .wheel import Wheel
+from ..state import statefile
+from ..state.wheel import Wheel
+from . import view
+from .budget import Budget, Held, Parts
+from .gate import Gate
+from .settings import read
 
 log = logging.getLogger(__name__)
 
--- a/linkdock/state/snapshots.py
+++ b/linkdock/dormancy/disk.py
@@ -12,17 +12,14 @@
 import time
 from collections.abc import Callable, Iterator
 from itertools import chain
-from typing import TYPE_CHECKING
+from pathlib import Path
 
-from ..dormancy import settings as shape
-from ..dormancy import snapshot
-from ..dormancy.memory import pack
-from ..dormancy.sleeper import Sleeper
 from ..options import OptionError
-
-if TYPE_CHECKING:
-    from ..service.config import Config
-    from .table import ServerTable
+from ..state.table import ServerTable
+from . import settings as shape
+from . import snapshot
+from .memory import pack
+from .sleeper import Sleeper
 
 log = logging.getLogger(__name__)
 
@@ -30,15 +27,16 @@
 
 
 class Dormancy:
-    """Owner of the sleeper and of the snapshot's files."""
+    """Owner of the sleeper and of the snapshot's files, in `folder`, which holds `disk_bytes` at the most."""
 
-    def __init__(self, text: bytes, config: Config, table: ServerTable, clock: Callable[[], float]) -> None:
-        self.settings = shape.read(text, int(config.disk_mb * 1e6))
-        self._clock, names = clock, config.class_names
+    def __init__(self, text: bytes, folder: Path, disk_bytes: int, names: list[str], table: ServerTable,
+                 clock: Callable[[], float]) -> None:
+        """`text` is that of dormancy.json, `names` are the classes'. Raises OptionError."""
+        self.settings, self._clock = shape.read(text, disk_bytes), clock
         self.sleeper = Sleeper(lambda: table.roster, len(names), self.settings.after_s, self.settings.most_kept,
                                table.shown)
         self._mark, self._classes = snapshot.classes_mark(names), len(names)
-        self._path, self._next = config.state / "learned", config.state / "learned.new"
+        self._path, self._next = folder / "learned", folder / "learned.new"
         self._failing = False
         if self.settings.snapshot:
             try:
--- a/linkdock/records/__init__.py
+++ b/linkdock/records/__init__.py
@@ -9,12 +9,17 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from ..service.config import Config
+    from pathlib import Path
+
     from .observer import Observer
 
 
-def open_observer(text: bytes, config: Config, clock: Callable[[], float], later: Callable) -> Observer:
-    """The observer of one life, from the text of records.json. Raises OptionError, or OSError for its file."""
+def open_observer(text: bytes, name: str, folder: Path, disk_bytes: int, classes: dict[str, dict],
+                  clock: Callable[[], float], later: Callable) -> Observer:
+    """The observer of one life, from the text of records.json. Raises OptionError, or OSError for its file.
+
+    `classes` says of each whether it is `repeatable`, and its `deadline` in seconds.
+    """
     try:
         from .observer import Observer
         from .recorder import Recorder
@@ -22,7 +27,4 @@
     except ImportError as bad:
         from ..options import OptionError
         raise OptionError(f"records.json: needs the packages of requirements-console.txt: {bad}") from None
-    recorder = Recorder(read(text, config.state, int(config.disk_mb * 1e6)), config.state, clock, later)
-    classes = {name: {"repeatable": config.repeatable(n), "deadline": config.settings.classes[n].deadline}
-               for n, name in enumerate(config.class_names)}
-    return Observer(recorder, config.name, classes)
+    return Observer(Recorder(read(text, folder, disk_bytes), folder, clock, later), name, classes)
--- /dev/null
+++ b/linkdock/sender/books.py
@@ -0,0 +1,54 @@
+"""What the parts of a sender share: its rules, its decisions, the journal, the table, the open requests, who hears."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Protocol
+
+from ..facade import Facade
+from ..interface import Settings
+from ..protocol.notices import Notices
+from ..state.journal import Journal
+from ..state.requests import Refused, Request, Requests
+from ..state.table import ServerTable
+
+if TYPE_CHECKING:
+    from ..records.observer import Observer
+    from ..state.figures import Figures
+    from ..undeliverable.writer import Undeliverable
+
+
+class Rules(Protocol):
+    """What a sender needs of its configuration. Classes are numbered in the order of their names."""
+
+    settings: Settings
+    class_names: list[str]
+
+    @property
+    def classes(self) -> dict[str, int]:
+        """The numbers by name."""
+
+    def repeatable(self, cls: int) -> bool:
+        """Whether a message of this class may be sent again though it may have run."""
+
+
+class Books:
+    """One for each sender, made by whoever starts it, who also sets what is on."""
+
+    def __init__(self, rules: Rules, clock: Callable[[], float], facade: Facade, journal: Journal,
+                 table: ServerTable) -> None:
+        self.rules, self.clock, self.facade, self.journal, self.table = rules, clock, facade, journal, table
+        self.requests = Requests(rules.settings.max_open)
+        self.observer: Observer | None = None             # of the records, where they are on
+        self.undeliverable: Undeliverable | None = None   # the store, where it is on
+        self.figures: Figures | None = None               # where there are operators
+        self.notices: Notices
+
+    def order_key(self, request: Request) -> int:
+        """By which messages of its class go in order; 0 where they need not. Raises Refused."""
+        if not self.rules.settings.classes[request.cls].in_order:
+            return 0
+        try:
+            return int(request.key, 16)
+        except ValueError:
+            raise Refused("the key is not hexadecimal") from None
--- /dev/null
+++ b/linkdock/sender/desk.py
@@ -0,0 +1,359 @@
+"""The life of a request: handed in, decided on, dispatched, ended. Any front may hand requests in."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from math import inf
+from typing import TYPE_CHECKING, Protocol
+
+from ..facade import (
+    DELIVERED,
+    NEVER_RAN,
+    Cancel,
+    Deny,
+    Dispatch,
+    Drop,
+    End,
+    Item,
+    Remark,
+    Retire,
+    Server,
+    Table,
+    Take,
+    Withdraw,
+)
+from ..protocol.calls import Backend, Call
+from ..state.journal import Kept
+from ..state.requests import Answer, Busy, Failed, Refused, Request, Taken
+from ..state.roster import Roster
+from .books import Books
+from .ends import Ends
+from .lives import Lives
+
+if TYPE_CHECKING:
+    from ..state.duty import Duty
+    from ..undeliverable.facts import Message
+
+log = logging.getLogger(__name__)
+
+WAITED, EARLY = 0.4, 0.05   # seconds that a client waits for its answer; and after a start until what comes is fresh
+NO_LIST = 1.0   # seconds after which to come again to a sender that has no list yet
+
+
+class Beside(Protocol):
+    """What a sender tells the process that is another one of it, and leaves to it."""
+
+    def health(self, server: str, state: str) -> None:
+        """The decisions think otherwise of a server now."""
+
+    def hand_over(self, requests: list[str]) -> bool:
+        """Leave these to the one that takes clients; whether they are its from now on."""
+
+
+class Sender:
+    """The desk between fronts, decisions and calls. It owns the requests and runs the decisions' ticks."""
+
+    def __init__(self, books: Books, spawn: Callable) -> None:
+        self._b, self._spawn = books, spawn
+        self._ends = Ends(books)
+        self._lives = Lives(books, self._ends)
+        self._asking: dict[str, Request] = {}      # not answered yet
+        self._calls: dict[tuple[str, int], Call] = {}
+        self._unsafe_until: float | None = None    # set while stopping
+        self._left = 0                             # requests left for the next life
+        self._fresh_from = -inf                    # what is read before may have waited for this process to start
+        self.spread: Callable[[float], float] | None = None   # of times to come back, where the gate is on
+        self.duty: Duty | None = None              # whether clients are taken, where there are operators
+        self.beside: Beside | None = None          # where another process of this sender may live
+        self.backend: Backend
+
+    # --- What comes in.
+
+    def ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
+        """A front hands in a request, which is answered at the next tick at the latest."""
+        if self._b.observer is None:
+            return self._ask(cls, destination, left, request, again, held)
+        self._b.observer.handed_in(request, cls, left, again, held)
+        try:
+            self._ask(cls, destination, left, request, again, held)
+        except Refused as why:
+            self._b.observer.refused(request.id, cls, destination, str(why))
+            raise
+
+    def _ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
+        if cls not in self._b.rules.classes:
+            raise Refused("unknown class")
+        unknown = not self._b.table.knows(destination)
+        if unknown and self._b.table.told:
+            raise Refused("unknown destination")
+        if left > 2 * self._b.rules.settings.classes[self._b.rules.classes[cls]].deadline:
+            raise Refused("d is beyond the deadline of its class")
+        if self._b.clock() < self._fresh_from:
+            # Danger: its time runs from when the client sent it, which may be as long ago as a client waits: it lay in
+            # the socket until this process had started. Told too late, its end counts as none.
+            left = max(0.0, left - WAITED)
+        known = self._b.requests.get(request.id)
+        if known is not None and known.answer is not None:
+            raise Refused("this id is being handed in already")
+        if known is not None or self._ends.remembered(request.id):
+            # The client came again over a new connection: what is owed is owed once. Danger: or another
+            # client uses the id, and its message would go out under it once the first is over.
+            self._say(request, Taken(known=True))
+            return
+        request.cls, request.until = self._b.rules.classes[cls], self._b.clock() + left
+        key = self._b.order_key(request)
+        if self._b.figures is not None:
+            self._b.figures.came += 1
+        if unknown:
+            # Danger: no list has come yet. Nobody can say that there is no such destination.
+            self._say(request, Busy(NO_LIST))
+            return
+        if self.duty is not None and self.duty.denies(self._b.clock()):
+            self._say(request, Busy(self.duty.again))
+            return
+        if self._b.requests.full():
+            self._say(request, self._no_room(destination))
+            return
+        self._b.requests.add(request)
+        self._asking[request.id] = request
+        self._b.facade.report(Take(request.id, request.cls, destination, left, key, again, held))
+
+    def _no_room(self, destination: int) -> Busy:
+        """Turned away for want of room here, whatever the destination could do."""
+        wait = self._b.facade.advice(destination)
+        return Busy(wait if self.spread is None else self.spread(wait))
+
+    def overloaded(self) -> bool:
+        """Whether a message would be denied for want of room, whatever it is."""
+        return self._b.requests.full() or self._b.journal.full()
+
+    def changed(self, servers: list[Server], version: int | None) -> None:
+        """Discovery has told of changes; the version comes with the last of them."""
+        self._b.table.update(servers, self._b.table.version if version is None else version)
+        if self._b.observer is not None and servers:
+            self._b.observer.table(self._b.table.version, False, len(servers), servers)
+        if servers:
+            self._b.facade.report(Table("changes", self._b.table.shown(servers), self._b.table.version))
+
+    def whole(self, roster: Roster, version: int) -> None:
+        """Discovery has told its whole list: what that leaves out is gone."""
+        self._b.table.replace(roster, version)
+        if self._b.observer is not None:
+            self._b.observer.table(version, True, len(roster), roster)
+        self._b.facade.report(Table("whole", self._b.table.shown(roster), version))
+
+    def doubted(self, servers: dict[str, float]) -> None:
+        """Another process of this sender has seen these fail since then: they are met as from an outage."""
+        rows = [row._replace(out_since=since) for name, since in servers.items()
+                if (row := self._b.table.row(name)) is not None]
+        if rows:
+            self._b.facade.report(Table("changes", self._b.table.shown(rows), self._b.table.version))
+
+    def by_hand(self, name: str, out_since: float | None = None) -> None:
+        """A server was taken out by hand, or put back after having been out since then.
+
+        It was restarted meanwhile: its connections are dead, and it comes back cold.
+        """
+        self.backend.pool.retire(name)
+        row = self._b.table.row(name)
+        if row is not None:
+            self._b.facade.report(Table("changes", self._b.table.shown([row._replace(out_since=out_since)]),
+                                      self._b.table.version))
+
+    def started(self) -> None:
+        """Clients are let in from now on."""
+        self._fresh_from = self._b.clock() + EARLY
+
+    # --- From life to life.
+
+    def restore(self) -> None:
+        """Take up what an earlier life of this sender took on."""
+        self.take_up(list(self._b.journal.kept.values()))
+
+    def take_up(self, left: list[Kept]) -> None:
+        """Take up what is owed by the journal, and by nobody else any more."""
+        self._lives.take_up(left)
+
+    def resend(self, message: Message) -> bool:
+        """Take one that could not be delivered on again, as new work; False where it cannot be."""
+        return self._unsafe_until is None and self._lives.resend(message)
+
+    def hand_over(self) -> None:
+        """Leave what waits to the process that takes clients. What has a call out is brought to its end here."""
+        out = {request for request, _ in self._calls}
+        self._lives.hand_over(lambda request: request in out or request in self._asking, self.beside.hand_over)
+
+    def confirmed(self, request: str) -> None:
+        """The platform has heard how a request ended."""
+        self._ends.confirmed(request)
+
+    # --- Ticks.
+
+    def beat(self) -> None:
+        """Run a decision pass if there is anything to decide, and carry out what it orders."""
+        now = self._b.clock()
+        if not self._b.facade.due(now):
+            return
+        self._b.facade.tick(now)
+        orders = list(iter(self._b.facade.pick, None))
+        finals = {order.request: order for order in orders if isinstance(order, Deny | Drop)}
+        # Clients hear first: a dispatch counts only if its client knows that the request was taken.
+        asking, self._asking = self._asking, {}
+        for request in asking.values():
+            self._answer(request, finals.pop(request.id, None))
+        for order in orders:
+            match order:
+                case Dispatch():
+                    self._dispatch(order, now)
+                case Deny(request, wait) if request in finals:
+                    notice = {"id": request, "status": "deferred"}
+                    if wait > 0:
+                        notice["again_ms"] = max(1, round(wait * 1000))
+                    self._ends.finish(request, "deferred", notice)
+                case Drop(request) if request in finals:
+                    self._ends.finish(request, "undeliverable", {"id": request, "status": "undeliverable"})
+                case Cancel(request, attempt):
+                    call = self._calls.get((request, attempt))
+                    if call is not None:
+                        call.cancel(request)
+                case Retire(server):
+                    self.backend.pool.retire(server)
+                case Remark(text, server, state):
+                    log.info("%s", text)
+                    if self.beside is not None and server:
+                        self.beside.health(server, state)
+
+    def _say(self, request: Request, said: Answer) -> bool:
+        """Tell a client its one answer; whether it was still there."""
+        answer, request.answer = request.answer, None
+        heard = answer(said)
+        if self._b.figures is not None and not isinstance(said, Taken):
+            self._b.figures.over(request.cls, "throttled" if isinstance(said, Busy) else "faulted")
+        if self._b.observer is not None:
+            again = isinstance(said, Taken) and said.known
+            until = time.time() + request.until - self._b.clock()
+            self._b.observer.answered(request, said, heard, until, again)
+        return heard
+
+    def _answer(self, request: Request, final: Deny | Drop | None) -> None:
+        """Answer a client, on record first. What is not taken on is forgotten."""
+        if final is not None:
+            self._b.requests.remove(request.id)
+            self._say(request, Busy(final.wait) if isinstance(final, Deny) else Failed("not delivered"))
+            return
+        left = request.until - self._b.clock()
+        kept = Kept(request.id, request.key, self._b.rules.class_names[request.cls], request.destination,
+                    time.time() + left, request.body)
+        if not self._b.journal.take(kept):
+            self._b.requests.remove(request.id)
+            self._b.facade.report(Withdraw(request.id))
+            self._say(request, self._no_room(request.destination))
+        elif not self._say(request, Taken()):
+            # Its client left unanswered and may hand it in again: nothing is owed, and nothing may be sent.
+            if self._b.figures is not None:
+                self._b.figures.over(request.cls, "throttled")
+            self._b.journal.end(request.id)
+            self._b.requests.remove(request.id)
+            self._b.facade.report(Withdraw(request.id))
+
+    def _dispatch(self, order: Dispatch, now: float) -> None:
+        items, requests = [], []
+        for item in order.items:
+            request = self._b.requests.get(item.request)
+            apart = request is not None and items and (request.alone or requests[0].alone)
+            if request is None or apart or self._held_back(request, now):
+                self.ended(order.server, item, "not sent", 0.0)
+                continue
+            left = request.until - now
+            items.append(item._replace(limit=min(item.limit or left, left)))
+            requests.append(request)
+        if not self._b.rules.settings.second_copies:
+            # A call is given up whole: one that is let go of while the call lasts could go out a second time.
+            longest = max((item.limit for item in items), default=0.0)
+            items = [item._replace(limit=min(longest, request.until - now))
+                     for item, request in zip(items, requests, strict=True)]
+        if items:
+            call = Call(self.backend, Dispatch(order.server, items), requests)
+            self._calls.update(((item.request, item.attempt), call) for item in items)
+            if self._b.observer is not None:
+                self._b.observer.dispatched(order.server, items)
+            self._spawn(call.run())
+
+    def _held_back(self, request: Request, now: float) -> bool:
+        """While stopping, what may not be repeated and might not finish waits in the journal."""
+        if self._unsafe_until is None or now < self._unsafe_until or self._b.rules.repeatable(request.cls):
+            return False
+        self._b.requests.remove(request.id)
+        self._left += 1
+        self._b.facade.report(Withdraw(request.id))
+        return True
+
+    # --- What calls say (protocol.calls.Desk).
+
+    def may_go(self, server: str, item: Item) -> bool:
+        """The last look before the first byte goes out, and the record that it does."""
+        now, request = self._b.clock(), self._b.requests.get(item.request)
+        if request is None or request.until <= now or self._held_back(request, now):
+            why = "its request is over, or waits for the next life"
+        elif (closed := self._b.table.closed(server, now)) is not None:
+            why = closed
+            log.info("dispatch of %s not sent: %s %s", item.request, server, closed)
+        elif not self._b.journal.sent(item.request, item.attempt):
+            why = "the journal has no room"
+        else:
+            if self._b.observer is not None:
+                self._b.observer.sent(server, item)
+            return True
+        if self._b.observer is not None:
+            self._b.observer.held_up(server, item, why)
+        return False
+
+    def repeatable(self, request: Request) -> bool:
+        return self._b.rules.repeatable(request.cls)
+
+    def ended(self, server: str, item: Item, how: str, elapsed: float, wait: float = 0.0,
+              load: tuple[float, float] | None = None, over: bool = False, owed: bool = False,
+              due: float = inf, read: str = "") -> None:
+        """A dispatch has its outcome: on record what matters for the next life, then for the decisions."""
+        self._calls.pop((item.request, item.attempt), None)
+        if self._b.observer is not None:
+            self._b.observer.outcome(server, item, how, elapsed, wait, over, read)
+        if how in NEVER_RAN:
+            self._b.journal.never(item.request, item.attempt)
+        self._b.facade.report(End(item.request, item.attempt, server, how, elapsed, wait, load, over))
+        if owed:
+            self._ends.finish(item.request, "undeliverable", {"id": item.request, "status": "undeliverable"})
+        elif over or how == DELIVERED:
+            self._ends.finish(item.request, "delivered" if how == DELIVERED else "void", due=due)
+
+    def delivered_late(self, request: str, due: float) -> None:
+        if self._b.requests.get(request) is not None:
+            if self._b.observer is not None:
+                self._b.observer.delivered_late(request)
+            self._b.facade.report(Withdraw(request))
+            self._ends.finish(request, "delivered", due=due)
+
+    # --- Stopping.
+
+    def calls_out(self) -> int:
+        return len({id(call) for call in self._calls.values()})
+
+    def hold_at_most(self, most: int) -> None:
+        """So many requests from now on; those beyond it stay."""
+        self._b.requests.hold_at_most(most)
+
+    def open(self) -> int:
+        """Messages that were taken on and have not ended, those left for the next life among them."""
+        return len(self._b.requests) - len(self._asking) + self._left
+
+    def stop_unsafe(self, at: float) -> None:
+        """From then on start nothing that may not be repeated."""
+        self._unsafe_until = at
+
+    def finishing(self) -> bool:
+        """While stopping: whether anything is left that this life can still bring to its end."""
+        late = self._unsafe_until is not None and self._b.clock() >= self._unsafe_until
+        return bool(self._calls or self._b.notices) or any(
+            not late or self._b.rules.repeatable(request.cls) for request in self._b.requests)
--- /dev/null
+++ b/linkdock/sender/ends.py
@@ -0,0 +1,81 @@
+"""How a request that was taken on ends: with a notice that is owed, in the store, or with nothing."""
+
+from __future__ import annotations
+
+from math import inf
+
+from .books import Books
+
+CLOSE = 0.25   # seconds before its deadline in which a delivery may have come too late for the platform
+REMEMBERED, MOST_REMEMBERED = 5.0, 4096   # seconds for which ended requests are remembered, and how many
+ENDS = {"delivered": "fulfilled", "deferred": "throttled"}   # how the operators' figures call an end; else faulted
+
+
+class Ends:
+    """Owner of what is remembered of ended requests."""
+
+    def __init__(self, books: Books) -> None:
+        self._b = books
+        self._over: dict[str, float] = {}   # ended lately: until when that is remembered
+
+    def remembered(self, request: str) -> bool:
+        """Whether it has ended a short while ago."""
+        return self._over.get(request, 0.0) > self._b.clock()
+
+    def finish(self, request: str, how: str, notice: dict | None = None, due: float = inf) -> None:
+        """The one place where a taken request ends: with a notice that is owed, or with nothing.
+
+        `due` is when the time was up of the first that shared the call which delivered it.
+        """
+        b = self._b
+        known = b.requests.get(request)
+        if known is None:
+            return
+        b.requests.remove(request)
+        now = b.clock()
+        if notice is None and now > min(known.until, due) - CLOSE:
+            # Danger: an answer written just after the message's time was up, which runs from its client's side and
+            # so ends before ours, or after the time of one that shared its call. It delivers nothing; a notice
+            # about what is over does no harm.
+            notice = {"id": request, "status": "undeliverable"}
+        while self._over and (len(self._over) >= MOST_REMEMBERED or next(iter(self._over.values())) <= now):
+            del self._over[next(iter(self._over))]
+        self._over[request] = now + REMEMBERED
+        if b.figures is not None:
+            b.figures.over(known.cls, ENDS.get(how, "faulted"))
+        if b.undeliverable is not None and request in b.undeliverable.again:
+            self.over_again(request, how == "delivered")
+        elif notice is None:
+            b.journal.end(request)
+        else:
+            self.owe_notice(request, notice, how == "delivered")
+        if b.observer is not None:
+            b.observer.over(request, how, known.until - now)
+
+    def owe_notice(self, request: str, notice: dict, ran: bool) -> None:
+        self._b.journal.notice(request, notice)
+        self.keep(request, notice, ran)
+        self._b.notices.post(notice)
+        if self._b.observer is not None:
+            self._b.observer.notice(notice)
+
+    def over_again(self, request: str, delivered: bool) -> None:
+        """The end of one that was sent again: the store hears it, nobody else."""
+        kept = self._b.journal.kept.get(request)
+        self._b.journal.end(request)   # it is held until the store has it
+        if kept is not None:
+            self._b.undeliverable.over(kept, delivered)
+
+    def keep(self, request: str, notice: dict, ran: bool) -> None:
+        """Into the store, where it is on, whatever could not be delivered or came too late (`ran`)."""
+        b = self._b
+        kept = b.journal.kept.get(request)
+        if b.undeliverable is not None and kept is not None:
+            cls = b.rules.classes.get(kept.cls)
+            b.undeliverable.keep(kept, notice["status"], cls is not None and b.rules.repeatable(cls), ran)
+
+    def confirmed(self, request: str) -> None:
+        """The platform has heard how a request ended."""
+        self._b.journal.end(request)
+        if self._b.observer is not None:
+            self._b.observer.confirmed(request)
--- /dev/null
+++ b/linkdock/sender/lives.py
@@ -0,0 +1,103 @@
+"""How requests pass from life to life: what an earlier one owed, what the store sends again, what another takes on."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from typing import TYPE_CHECKING
+
+from ..facade import Take, Withdraw
+from ..state.journal import MOST_MOVED, Kept
+from ..state.requests import Refused, Request
+from .books import Books
+from .ends import Ends
+
+if TYPE_CHECKING:
+    from ..undeliverable.facts import Message
+
+
+class Lives:
+    """Requests that no client waits for: they begin, or go, by the journal alone."""
+
+    def __init__(self, books: Books, ends: Ends) -> None:
+        self._b, self._ends = books, ends
+
+    def take_up(self, left: Iterable[Kept]) -> None:
+        """Take up what is owed by the journal, and by nobody else any more."""
+        b = self._b
+        now, unix = b.clock(), time.time()
+        for kept in left:
+            if b.observer is not None:
+                b.observer.restored(kept)
+            again = b.undeliverable is not None and kept.id in b.undeliverable.again
+            if kept.again and not again:
+                # Danger: one that was sent again, and whose outcome the store has. Only the journal's end is missing.
+                # Where the store cannot be asked it waits for a life that can.
+                if b.undeliverable is not None and b.undeliverable.readable:
+                    b.journal.end(kept.id)
+                continue
+            if kept.notice is not None:
+                # What is in the store already stays as it is there; a kill may have come before.
+                self._ends.keep(kept.id, kept.notice, False)
+                b.notices.post(kept.notice)
+                continue
+            cls = b.rules.classes.get(kept.cls)
+            safe = cls is not None and b.rules.repeatable(cls)
+            if cls is None or kept.doubt and not safe:
+                # It may have run and may not be repeated: nobody can know more, so that it ends now.
+                if again:
+                    self._ends.over_again(kept.id, False)
+                    continue
+                self._ends.owe_notice(kept.id, {"id": kept.id, "status": "undeliverable"}, False)
+                if b.figures is not None:
+                    b.figures.came += 1
+                    b.figures.over(cls, "faulted")
+                if b.observer is not None:
+                    b.observer.over(kept.id, "undeliverable", kept.until - unix)
+                continue
+            rest = max(0.0, kept.until - unix)
+            request = Request(kept.id, kept.key, cls, kept.destination, now + rest, kept.body)
+            b.requests.add(request)
+            if b.figures is not None:
+                b.figures.came += 1
+            b.facade.report(Take(kept.id, cls, kept.destination, rest, b.order_key(request), held=True,
+                                 used=kept.used))
+
+    def resend(self, message: Message) -> bool:
+        """Take one that could not be delivered on again, as new work with a deadline of its own; False where it cannot.
+
+        The platform has heard its end; it hears nothing of this. Live traffic has the first half of the room.
+        """
+        b = self._b
+        cls = b.rules.classes.get(message.cls)
+        busy = 2 * len(b.requests) >= b.rules.settings.max_open
+        if cls is None or busy or not b.table.knows(message.destination) or b.requests.get(message.id):
+            return False
+        left = b.rules.settings.classes[cls].deadline
+        kept = Kept(message.id, message.key, message.cls, message.destination, time.time() + left, message.body,
+                    again=True)
+        request = Request(message.id, message.key, cls, message.destination, b.clock() + left, message.body)
+        try:
+            key = b.order_key(request)
+        except Refused:
+            return False
+        if not b.journal.take(kept):
+            return False
+        b.journal.hold(message.id)
+        b.requests.add(request)
+        if b.figures is not None:
+            b.figures.came += 1
+        b.facade.report(Take(message.id, cls, message.destination, left, key, held=True))
+        return True
+
+    def hand_over(self, busy: Callable[[str], bool], give: Callable[[list[str]], bool]) -> None:
+        """Leave to another process, by `give`, what is on record and not `busy` here; it stays where that fails."""
+        b = self._b
+        waiting = [r.id for r in b.requests if r.id in b.journal.kept and not busy(r.id)][:MOST_MOVED]
+        if not waiting or not give(waiting):
+            return
+        for request in waiting:
+            b.requests.remove(request)
+            b.facade.report(Withdraw(request))
+        if b.figures is not None:
+            b.figures.came -= len(waiting)   # the other counts them
--- a/linkdock/service/operations.py
+++ b/linkdock/service/operations.py
@@ -11,7 +11,8 @@
 from ..protocol.admin import Admin, Refusal
 from ..protocol.exposition import render
 from ..protocol.frontend import Frontend
-from ..sender import Sender
+from ..sender.books import Books
+from ..sender.desk import Sender
 from ..state.duty import Duty
 from ..state.figures import Figures
 from ..state.rotation import Rotation, TooMany
@@ -40,10 +41,10 @@
         if len(self.rotation):
             log.info("out by hand from before: %s", ", ".join(self.rotation))
 
-    def count(self, sender: Sender) -> None:
+    def count(self, books: Books, sender: Sender) -> None:
         """Counts begin here, before what an earlier life left is taken up."""
         self._sender = sender
-        sender.figures = sender.backend.figures = self.figures
+        books.figures = sender.backend.figures = self.figures
         sender.duty = self.duty
 
     def open(self, frontend: Frontend, wheel: Wheel, spawn: Callable) -> None:
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -20,7 +20,8 @@
 from ..protocol.frontend import Frontend
 from ..protocol.listening import inherited
 from ..protocol.notices import Notices
-from ..sender import Sender
+from ..sender.books import Books
+from ..sender.desk import Sender
 from ..state.asking import Asking
 from ..state.journal import Journal
 from ..state.table import ServerTable
@@ -29,11 +30,11 @@
 
 if TYPE_CHECKING:
     from ..admission.budget import Parts
+    from ..admission.clients import Clients
     from ..connections.kept import KeptPool
+    from ..dormancy.disk import Dormancy
     from ..records.observer import Observer
-    from ..state.clients import Clients
-    from ..state.snapshots import Dormancy
-    from ..state.undeliverable import Undeliverable
+    from ..undeliverable.writer import Undeliverable
     from .operations import Operations
     from .shift import Shift
 
@@ -87,24 +88,25 @@
                 table.update(servers, version)
                 table.told = bool(servers)   # Danger: an empty one says nothing of what there is
                 facade.report(Table("kept", table.shown(servers), version))
-        self.sender = Sender(config, clock, self.spawn, facade, self._journal, table)
+        books = Books(config, clock, facade, self._journal, table)
+        self.sender = Sender(books, self.spawn)
         idle_for = max(settings.idle_close - IDLE_MARGIN, settings.idle_close / 2)
         kept = self._kept(config, table, idle_for)
         self._pool = ConnectionPool(self._wheel, idle_for, config.most_backends) if kept is None else kept
         self.sender.backend = Backend(self.sender, table, self._pool, self._wheel, clock,
                                       settings.connect_timeout, config.fields)
         self.sender.backend.kept = kept
-        self._notices = self.sender.notices = Notices(config.discovery, self._wheel, self._wheel.pause,
-                                                      self.sender.confirmed)
+        self._notices = books.notices = Notices(config.discovery, self._wheel, self._wheel.pause,
+                                                self.sender.confirmed)
         asking = Asking(config.paid_news, settings.relays, settings.ask_within, config.seed, not len(table.roster))
         self._watch = Watch(config.discovery, self._wheel, asking, config.zones, config.kinds,
                             lambda: table.version, self.sender, config.most_list)
         self._observer = self._records(config)
-        for part in (self.sender, self.sender.backend, self._notices):
+        for part in (books, self.sender.backend, self._notices):
             part.observer = self._observer
-        self._undeliverable = self.sender.undeliverable = self._store(config)
+        self._undeliverable = books.undeliverable = self._store(config)
         if self._operations is not None:
-            self._operations.count(self.sender)
+            self._operations.count(books, self.sender)
         if self._shift is not None:
             self._shift.join(self.sender, facade, table, self._operations)
         self.sender.restore()
@@ -184,7 +186,10 @@
             if text is None:
                 return None
             from ..records import open_observer
-            return open_observer(text, config, self._loop.time, self._loop.call_later)
+            classes = {name: {"repeatable": config.repeatable(n), "deadline": config.settings.classes[n].deadline}
+                       for n, name in enumerate(config.class_names)}
+            return open_observer(text, config.name, config.state, int(config.disk_mb * 1e6), classes,
+                                 self._loop.time, self._loop.call_later)
         except (OptionError, OSError) as bad:
             raise ConfigError(str(bad)) from None
 
@@ -202,8 +207,8 @@
     def _sleep(self, config: Config, table: ServerTable, clock: Callable[[], float]) -> Dormancy | None:
         """What idle destinations are kept in."""
         def make(text: bytes) -> Dormancy:
-            from ..state.snapshots import Dormancy
-            return Dormancy(text, config, table, clock)
+            from ..dormancy.disk import Dormancy
+            return Dormancy(text, config.state, int(config.disk_mb * 1e6), config.class_names, table, clock)
         return self._subsystem("dormancy", make)
 
     def _kept(self, config: Config, table: ServerTable, idle_for: float) -> KeptPool | None:
@@ -220,14 +225,14 @@
     def _admission(self, config: Config) -> Clients | None:
         """The gate for clients and its file."""
         def make(text: bytes) -> Clients:
-            from ..state.clients import Clients
+            from ..admission.clients import Clients
             return Clients(text, config.most_clients, config.sockets, config.state, self._wheel, self.sender.overloaded)
         return self._subsystem("admission", make)
 
     def _store(self, config: Config) -> Undeliverable | None:
         """The store of undeliverable messages."""
         def make(text: bytes) -> Undeliverable:
-            from ..state.undeliverable import Undeliverable
+            from ..undeliverable.writer import Undeliverable
             return Undeliverable(text, config.state, self._journal, self._loop)
         return self._subsystem("undeliverable", make)
 
--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING
 
 from ..facade import Facade, Learned
-from ..sender import Sender
+from ..sender.desk import Sender
 from ..state import board as notes
 from ..state.board import Board, Fact, Reader
 from ..state.journal import Journal, Kept, owed
@@ -62,7 +62,7 @@
     def join(self, sender: Sender, facade: Facade, table: ServerTable, operations: Operations | None) -> None:
         """From now on facts go both ways; what the others know already comes first."""
         self._sender, self._facade, self._table, self._operations = sender, facade, table, operations
-        sender.shift = self
+        sender.beside = self
         table.heard = self._wait_told
         self.beat()
 
--- a/linkdock/state/undeliverable.py
+++ b/linkdock/undeliverable/writer.py
@@ -15,10 +15,10 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ..undeliverable.facts import DONE, Attempt, Message, attempts_of
-from ..undeliverable.settings import read
-from ..undeliverable.store import Store, StoreError
-from .journal import Journal, Kept
+from ..state.journal import Journal, Kept
+from .facts import DONE, Attempt, Message, attempts_of
+from .settings import read
+from .store import Store, StoreError
 
 log = logging.getLogger(__name__)
 
--- a/tests/crash_child.py
+++ b/tests/crash_child.py
@@ -15,9 +15,9 @@
 from pathlib import Path
 
 from linkdock.state import journal as journals
-from linkdock.state.undeliverable import Undeliverable
 from linkdock.undeliverable.facts import in_doubt
 from linkdock.undeliverable.store import Filter, Store
+from linkdock.undeliverable.writer import Undeliverable
 
 FOLDER, POINT = Path(sys.argv[1]), int(sys.argv[2])
 NAME, PATIENCE = "aa01", 5.0
--- a/tests/test_undeliverable.py
+++ b/tests/test_undeliverable.py
@@ -18,11 +18,11 @@
 from linkdock.console.main import cli
 from linkdock.options import FOLDER, OptionError, switched_on
 from linkdock.state.journal import Journal, Kept
-from linkdock.state.undeliverable import BATCH, Undeliverable
 from linkdock.undeliverable import settings as shape
 from linkdock.undeliverable.facts import DONE, MAY, NEVER, Attempt, Message, Statement, attempts_of, in_doubt
 from linkdock.undeliverable.facts import may_be_sent_again as why_not
 from linkdock.undeliverable.store import Filter, Store, StoreError
+from linkdock.undeliverable.writer import BATCH, Undeliverable
 
 
 def message(name="aa01", **more):
