--- a/linkdock/state/clients.py
+++ b/linkdock/admission/clients.py
@@ -8,12 +8,13 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ..admission import view
-from ..admission.budget import Budget, Held, Parts
-from ..admission.gate import Gate
-from ..admission.settings import read
-from . import statefile
-from .wheel import Wheel
+from ..errors import log_line
+from ..state import statefile
+from ..state.wheel import Wheel
+from . import view
+from .budget import Budget, Held, Parts
+from .gate import Gate
+from .settings import read
 
 log = logging.getLogger(__name__)
 
@@ -64,7 +65,7 @@
         try:
             count = view.restore(self.gate, view.read(self._path), self._wheel.now)
         except ValueError as bad:
-            log.warning("known clients are not used: %s", bad)
+            log.warning("known clients are not used: %s", log_line(bad))
         else:
             log.info("%d addresses of clients are known again", count)
 
--- a/linkdock/connections/kept.py
+++ b/linkdock/connections/kept.py
@@ -14,11 +14,13 @@
 
 from tornado.iostream import StreamClosedError
 
-from ..protocol.streams import seen, silent
+from ..errors import log_line
 from ..state.wheel import Wheel
+from ..streams import seen, silent
 from . import view
 from .choice import Choice, ConnectionsSettings
-from .keeper import ROUND, Action, Close, Fail, Keeper, Open, Ticket, Use
+from .keeper import Keeper
+from .orders import ROUND, Action, Close, Fail, Open, Ticket, Use
 from .pool import BEHIND, BUFFER, Connection, PoolFull, new_stream
 
 log = logging.getLogger(__name__)
@@ -148,7 +150,7 @@
                 try:
                     connection = Connection(server, kind, dial, new_stream())
                 except PoolFull as bad:
-                    log.info("backend server %s: %s", server, bad)
+                    log.info("backend server %s: %s", server, log_line(bad))
                     return self._do(self.keeper.no_descriptor(self._wheel.now, server))
                 self._opening.add(connection)
                 self._spawn(self._open(connection))
--- a/linkdock/connections/view.py
+++ b/linkdock/connections/view.py
@@ -101,7 +101,7 @@
     if server is not None:
         state = msgspec.structs.replace(state, servers=[r for r in state.servers if r.server == server], left_out=0)
         if not state.servers:
-            raise ValueError(f"{path}: no server {server}")
+            raise statefile.StateError(f"{path}: no server {server}")
     return state
 
 
--- a/linkdock/state/undeliverable.py
+++ b/linkdock/undeliverable/writer.py
@@ -15,10 +15,11 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from ..undeliverable.facts import DONE, Attempt, Message, attempts_of
-from ..undeliverable.settings import read
-from ..undeliverable.store import Store, StoreError
-from .journal import Journal, Kept
+from ..errors import log_line
+from ..state.journal import Journal, Kept
+from .facts import DONE, Attempt, Message, attempts_of
+from .settings import read
+from .store import Store, StoreError
 
 log = logging.getLogger(__name__)
 
@@ -63,7 +64,7 @@
             self.readable = True
         except StoreError as bad:
             # Danger: a folder that is read-only, a page that is damaged. The sender serves all the same.
-            self._fails(str(bad))
+            self._fails(log_line(bad))
         self._thread = threading.Thread(target=self._run, name="undeliverable", daemon=True)
 
     def start(self, resend: Callable[[Message], bool]) -> None:
@@ -184,7 +185,7 @@
                 if store is not None:
                     store.close()
                 store = None
-                self._fails(str(bad))
+                self._fails(log_line(bad))
             self._release([m.id for m in batch])
         if store is not None:
             store.close()
