Move the decisions into a package of their own, still one file

First step of its split, alone so that the history of the largest part follows: `linkdock/decide.py` becomes `linkdock/decisions/health.py`, unchanged but for its two relative imports. The project test counts all files of the package by `policy` and fails if one is not named there.

--- a/linkdock/__init__.py
+++ b/linkdock/__init__.py
@@ -1,8 +1,8 @@
-"""A sender and its decisions: `interface` says what goes in and out, `decide` decides."""
+"""A sender and its decisions: `interface` says what goes in and out, `decisions` decides."""
 
 __version__ = "0.2.0"
 
-from .decide import Relay
+from .decisions import Relay
 from .interface import (
     Action,
     Cancel,
--- a/linkdock/decide.py
+++ b/linkdock/decisions/health.py
@@ -13,8 +13,8 @@
 from collections import deque
 from math import exp, inf, sqrt
 
-from . import interface as i
-from .interface import Effect, Result
+from .. import interface as i
+from ..interface import Effect, Result
 
 # --- Constants; times are multiples of observed or told figures unless said otherwise.
 KR_SCALE = 4.0          # Kr in x: a repeat costs the receiver a call and us a slot; more is cautious
--- a/linkdock/drill.py
+++ b/linkdock/drill.py
@@ -6,7 +6,7 @@
 from typing import Any, BinaryIO
 
 from . import wire
-from .decide import Relay
+from .decisions import Relay
 
 
 def _read(source: BinaryIO, size: int) -> bytes:
--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -1,6 +1,6 @@
 """The decisions in blocking style: `report` what happened, `tick`, then `pick` what to do until None.
 
-The only module that sees the events and actions of `decide`; everyone else uses the plain values below.
+The only module that sees the events and actions of `decisions`; everyone else uses the plain values below.
 A request is named by its id on the wire, a backend server by its name in the server table.
 """
 
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 
 from . import interface as i
-from .decide import Relay
+from .decisions import Relay
 
 # How a dispatch ended, in the words that staff use.
 DELIVERED, ERROR, TURNED_AWAY, TIMED_OUT = "delivered", "error", "turned away", "timed out"
--- a/linkdock/lab/virtual.py
+++ b/linkdock/lab/virtual.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from .. import interface as i
-from ..decide import Relay
+from ..decisions import Relay
 from . import members as m
 
 TRIP = 0.01          # seconds to a member and back
--- a/tests/test_dormancy.py
+++ b/tests/test_dormancy.py
@@ -8,7 +8,7 @@
 import pytest
 
 from linkdock import interface as i
-from linkdock.decide import Relay
+from linkdock.decisions import Relay
 from linkdock.dormancy import memory as m
 from linkdock.dormancy import settings as shape
 from linkdock.dormancy import snapshot as s
--- a/tests/test_large_fleets.py
+++ b/tests/test_large_fleets.py
@@ -5,7 +5,7 @@
 import pytest
 from test_relay import R, Rig, of, settings
 
-from linkdock import decide
+from linkdock import decisions as decide
 from linkdock import interface as i
 
 WEIGHT, COLD, MULTIPLE, TIP = 20.0, 0.2, 2.0, 2.0
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -9,8 +9,15 @@
 ROOT = pathlib.Path(__file__).parent.parent
 
 
-def test_module_stays_printable():
-    lines = (ROOT / "linkdock" / "decide.py").read_text().splitlines()
+def named(*keys):
+    told = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    return [ROOT / name for key in keys for name in told[key]]
+
+
+def test_the_decisions_stay_printable():
+    files = named("policy")
+    assert sorted(files) == sorted((ROOT / "linkdock" / "decisions").rglob("*.py"))
+    lines = [line for path in files for line in path.read_text().splitlines()]
     assert sum(1 for line in lines if line.strip()) <= 810
     assert max(map(len, lines)) <= 110
 
@@ -48,10 +55,9 @@
 
 
 def test_every_file_of_the_sender_is_under_policy_or_node():
-    told = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    named = [ROOT / name for name in told["policy"] + told["node"]]
+    files = named("policy", "node")
     # Never imported by `run`, or types alone.
     apart = {"lab", "console", "wire.py", "drill.py", "interface.py", "__init__.py"}
     for path in (ROOT / "linkdock").rglob("*.py"):
         if path.relative_to(ROOT / "linkdock").parts[0] not in apart:
-            assert any(path == one or one in path.parents for one in named), path
+            assert any(path == one or one in path.parents for one in files), path
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from linkdock import decide
+from linkdock import decisions as decide
 from linkdock import interface as i
 
 R = i.Result
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from test_relay import R, of
 
-from linkdock import decide
+from linkdock import decisions as decide
 from linkdock import interface as i
 
 NEVER_RAN = {R.FULL, R.CONNECT_FAILED, R.MOOT}
