--- a/linkdock/dormancy/sleeper.py
+++ b/linkdock/dormancy/sleeper.py
@@ -1,6 +1,6 @@
 """When a destination sleeps, what of its links is kept, and what a waking one is given.
 
-It works on the decisions' own objects and decides nothing of dispatches: those stay in `decide`. What it does there:
+It works on the decisions' own objects and decides nothing of dispatches: those stay in `decisions`. What it does there:
 
 - estimates (x, p, p95, 2y) are drawn from the class's usual figures toward what was kept, by its trust;
 - a limit comes back as it was, but the pace starts low and the first call goes alone (`Route.woken`), so that its
@@ -27,7 +27,7 @@
 
 
 class Sleeper:
-    """What `decide.Relay` asks for (interface.Sleeper). `roster` gives the list in force."""
+    """What `decisions.Relay` asks for (interface.Sleeper). `roster` gives the list in force."""
 
     def __init__(self, roster: Callable[[], Roster], classes: int, after: float, most: int,
                  shown: Callable[[Iterable[Server]], Iterable[Server]] = lambda rows: rows) -> None:
