Meet a server that was out again since its last return as from that outage alone

At fault: ColdReturn.suspect, which did not end the return. A test fails with OverflowError without it.

--- a/linkdock/decisions/cold.py
+++ b/linkdock/decisions/cold.py
@@ -20,7 +20,7 @@
 class ColdReturn(Pace):  # what a link that was stopped, and a route at its limit, may be given
     def suspect(self, link: Link, since: float) -> None:
         """A link that wakes under suspicion: its first call is a trial, its answer begins a cold return."""
-        link.down_at, link.since, link.bad, link.fails = self.now, since, BAD, FAILS
+        link.down_at, link.ramp, link.since, link.bad, link.fails = self.now, None, since, BAD, FAILS
         self.down[link] = None
         link.route.pause, link.route.trials = RETRY_FIRST * max(e.x for e in self.usual), 0
         link.route.trial_at = -inf
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -391,3 +391,20 @@
         rig.message(mid)
         rig.outcome(mid, R.OK, later=2.0, elapsed=2.0)
     assert of(i.Send, rig.message(50))[0].timeout == pytest.approx(decide.FLOOR * 2.0)
+
+
+def test_a_link_that_was_out_again_since_its_last_return_is_met_as_from_that_outage():
+    """The return before has no part in it: an outage of less than no time overflowed and ended the tick."""
+    rig = Rig(relays=1)
+
+    def out(lasted):
+        entry = i.HostEntry("a", 1, weight=200.0, out_since=rig.now - lasted)
+        rig.step(0.0, i.Hosts(i.ListKind.DELTA, [entry]))
+    out(5.0)
+    rig.message(1)
+    rig.outcome(1, R.OK)
+    assert rig.relay.links["a"].ramp is not None   # and nothing is asked of it until long after
+    rig.step(70.0)
+    out(1.0)
+    assert of(i.Send, rig.message(2))
+    assert rig.relay.knowers(rig.relay.links["a"]) == 1.0
