Split the tests of stories, upgrades and the keeper by story

Stories go by what they are about: how a message ends, answers, clients, restarts, discovery, connections, descriptors, what is kept. What several of them use is in peers.py; the keeper's wire in handshakes.py; what of upgrades needs no second process in test_succession.py.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -5,6 +5,7 @@
 import pathlib
 import queue
 import re
+import select
 import signal
 import socket
 import subprocess
@@ -12,6 +13,8 @@
 import threading
 import time
 
+from linkdock.state.journal import Journal
+
 ROOT = pathlib.Path(__file__).parent.parent
 PATIENCE = 8.0
 
@@ -265,3 +268,34 @@
             self.kill()
         assert self.process.returncode in (0, -signal.SIGKILL), self.log
         assert "Traceback" not in "".join(self.log), self.log
+
+
+def owed(program):
+    """What the journal still holds; the program must not run."""
+    return Journal(program.state, 3_000_000).kept
+
+
+def settled(client):
+    """A round trip through the program: what it had to do before is done."""
+    assert client.ask("PING") == "+PONG"
+
+
+def socket_that_is_called(servers):
+    ready, _, _ = select.select([s.sock for s in servers], [], [], 8)
+    return next(s for s in servers if s.sock in ready)
+
+
+def from_address(program, address):
+    """A client's connection that comes from another address of this machine."""
+    sock = socket.create_connection(("127.0.0.1", program.port), PATIENCE, source_address=(address, 0))
+    client = Client.__new__(Client)
+    client.sock, client.file = sock, sock.makefile("rb")
+    return client
+
+
+def refused(client):
+    try:
+        client.send("PING")
+        return client.heard() == ""
+    except ConnectionError:
+        return True
