Let a word of failure be believed only once the member had time to speak up, tell news between probes

A cut that healed spread the failures of each side into the other: sound members were failed for a second. Now such a word counts as a finding. Shorter local health (3) and packets of news halve the time until a cut is known on both sides.

--- a/linkdock/cluster/members/asking.py
+++ b/linkdock/cluster/members/asking.py
@@ -46,6 +46,7 @@
         self.probe: Probe | None = None
         self.relays: dict[int, Relay] = {}
         self._joins: list[int] = []
+        self._answers, self._answers_at = settings.answers, 0.0
 
     def draw(self) -> int:
         return self._random.getrandbits(62)
@@ -58,6 +59,15 @@
     def joined(self, number: int) -> bool:
         return number in self._joins
 
+    def may_answer(self, now: float) -> bool:
+        """Whether one more Join is answered. Danger: one packet in, several out, to whom it says that it is from."""
+        most = self._settings.answers
+        self._answers, self._answers_at = min(most, self._answers + (now - self._answers_at) * most), now
+        if self._answers < 1:
+            return False
+        self._answers -= 1
+        return True
+
     def of_probe(self, number: int, target: str) -> bool:
         probe = self.probe
         return probe is not None and probe.number == number and probe.target == target
--- a/linkdock/cluster/members/rumours.py
+++ b/linkdock/cluster/members/rumours.py
@@ -9,8 +9,9 @@
 from math import ceil, log2
 
 import msgspec
+from msgspec.structs import replace
 
-from ..interface import MOST_DATAGRAM, Peer, Rumour, Standing
+from ..interface import MOST_DATAGRAM, Packet, Peer, Rumour, Standing
 
 MOST_PACKET = MOST_DATAGRAM - 64   # the rest is the digest's
 MOST_ID, MOST_PLACE = 96, 48       # characters of an id, of a zone or region
@@ -78,3 +79,23 @@
             if told.times >= most:
                 del self._told[peer_id]
             yield told.rumour
+
+
+def fill(packet: Packet, first: list[Rumour], rumours: Rumours, members: int, without: set[str],
+         known: list[Rumour]) -> Packet:
+    """The packet with the `first` words, then rumours, then of `known` (used up) what fits into one datagram."""
+    room = MOST_PACKET - size(packet) - 2   # an array of more than 15 has a longer head
+    told = []
+    for rumour in first:
+        if (needs := size(rumour)) <= room:
+            told.append(rumour)
+            room -= needs
+    for rumour in rumours.take(room, members, without):
+        told.append(rumour)
+        room -= size(rumour)
+    while known and (needs := size(known[0])) <= room:
+        rumour = known.pop(0)
+        if rumour.peer.id not in without:
+            told.append(rumour)
+            room -= needs
+    return replace(packet, rumours=tuple(told))
--- a/linkdock/cluster/members/settings.py
+++ b/linkdock/cluster/members/settings.py
@@ -17,11 +17,12 @@
     answer_s: Annotated[float, msgspec.Meta(gt=0)] = 0.4
     nack_s: Annotated[float, msgspec.Meta(gt=0)] = 0.3          # after which a helper says that it heard nothing
     helpers: Annotated[int, msgspec.Meta(ge=0, le=8)] = 3
-    most_health: Annotated[int, msgspec.Meta(ge=0, le=16)] = 8
+    most_health: Annotated[int, msgspec.Meta(ge=0, le=16)] = 3   # Lifeguard has 8: parts a cut twice as late
     suspicion: Annotated[float, msgspec.Meta(gt=0)] = 4.0       # shortest: this x log10(members) x probe_s
     suspicion_growth: Annotated[float, msgspec.Meta(ge=1)] = 6.0   # longest, without confirmations, over shortest
     confirmations: Annotated[int, msgspec.Meta(ge=0, le=8)] = 3
     spread: Annotated[float, msgspec.Meta(gt=0)] = 2.0          # a rumour is sent this x log2(members) times
+    gossip_s: Annotated[float, msgspec.Meta(gt=0)] = 0.5        # between two packets of news alone, while there is any
     join_s: Annotated[float, msgspec.Meta(gt=0)] = 0.5          # first pause between joins; doubles
     join_most_s: Annotated[float, msgspec.Meta(gt=0)] = 8.0
     exchange_s: Annotated[float, msgspec.Meta(gt=0)] = 15.0     # between two questions to a member for all it knows
--- a/linkdock/cluster/members/swim.py
+++ b/linkdock/cluster/members/swim.py
@@ -1,8 +1,8 @@
 """SWIM with suspicion, incarnations and local health awareness, as a machine: facts in, posts and changes out.
 
 After Das, Gupta, Motivala, "SWIM" (2002) and Dadgar, Phillips, Currey, "Lifeguard" (2017). A suspicion is told on only
-by those whose own probe failed, so that each teller is one finding more. What an exchange says to have failed is only
-suspected: it may have been on the other side of a cut.
+by those whose own probe failed, so that each teller is one finding more. Who is said to have failed is only suspected
+at first: the word may come from the other side of a cut.
 """
 
 from __future__ import annotations
@@ -30,7 +30,7 @@
 from .asking import Open, Probe
 from .asking import Round as Order
 from .health import Health, Suspicion
-from .rumours import HIGHEST, MOST_ID, MOST_PACKET, Rumours, believable, size, sound
+from .rumours import HIGHEST, MOST_ID, Rumours, believable, fill, sound
 from .seeds import Seeds
 from .settings import MembersSettings
 from .table import ALIVE, FAILED, LEFT, SUSPECT, Change, Record, Table
@@ -61,8 +61,7 @@
         self._started = self._left = False
         self._now = self._began = 0.0
         self._exchange_gap = self.settings.join_s
-        self._exchange_at = self._retry_at = self._probe_at = inf
-        self._answers, self._answers_at = self.settings.answers, 0.0
+        self._exchange_at = self._retry_at = self._probe_at = self._gossip_at = inf
         self._out: Out = []
 
     # --- What the caller asks.
@@ -78,6 +77,7 @@
         self._exchange_gap = self.settings.join_s
         self._exchange_at = self._now + self._exchange_gap
         self._retry_at = self._now + self.settings.retry_s
+        self._gossip_at = self._now + self.settings.gossip_s
         self._join_seeds()
         return self._out
 
@@ -86,7 +86,7 @@
         self._begin(now)
         if self._started and not self._left:
             self._left = True
-            live = [one.peer.id for one in self.table.records.values() if one.live]
+            live = self.table.ids(ALIVE, SUSPECT)
             self._random.shuffle(live)
             for peer_id in live[:2 * ceil(log2(len(live) + 1))]:
                 self._post(peer_id, Ping, self._open.draw(), to=peer_id)
@@ -106,7 +106,8 @@
             return inf
         suspects = min((one.suspicion.until() for one in self._suspects.values()), default=inf)
         probe = self._probe_at if self._open.probe is None else inf
-        return min(probe, self._open.due(), suspects, self._seeds.due(), self._exchange_at, self._retry_at)
+        gossip = self._gossip_at if self._rumours else inf
+        return min(probe, self._open.due(), suspects, self._seeds.due(), self._exchange_at, self._retry_at, gossip)
 
     # --- What comes in.
 
@@ -120,11 +121,10 @@
             if isinstance(packet, Ping) and packet.to == self.me.id:
                 self._post(sender.id, Ack, packet.number, target=self.me.id)
             return self._out
-        exchanged = isinstance(packet, Join | Welcome)
         self._hear(said, sender.id, direct=True)
         for rumour in packet.rumours:
             if believable(rumour):
-                self._hear(rumour, sender.id, exchanged=exchanged)
+                self._hear(rumour, sender.id)
         match packet:
             case Ping(to=self.me.id):
                 self._post(sender.id, Ack, packet.number, behind=packet.incarnation, target=self.me.id)
@@ -141,7 +141,7 @@
                 self._seeds.welcomed = True
         return self._out
 
-    def _hear(self, rumour: Rumour, by: str, direct: bool = False, exchanged: bool = False) -> None:
+    def _hear(self, rumour: Rumour, by: str, direct: bool = False) -> None:
         peer_id = rumour.peer.id
         if peer_id == self.me.id:
             self._of_me(rumour)
@@ -152,14 +152,21 @@
         if rumour.standing is SUSPECT and record is None:
             self._hear(Rumour(rumour.peer, ALIVE, rumour.incarnation), by)
             record = self.table.get(peer_id)
-        if rumour.standing is FAILED and exchanged and record is not None and record.standing is ALIVE:
-            rumour, by = Rumour(rumour.peer, SUSPECT, rumour.incarnation), ""
+        if rumour.standing is FAILED and record is not None and record.live and not self._ripe(rumour, record):
+            rumour = replace(rumour, standing=SUSPECT)
         if record is not None and rumour.standing is record.standing is SUSPECT \
                 and rumour.incarnation == record.incarnation:
             self._confirmed(record, by)
             return
         self._changed(self.table.hear(self._now, rumour, direct), by)
 
+    def _ripe(self, rumour: Rumour, record: Record) -> bool:
+        """Whether a word of failure is believed. Danger: it may come from the other side of a cut that has just healed,
+        or be a lie: the member has the shortest time of a suspicion here, too, to speak up."""
+        return not self.settings.lifeguard or record.standing is SUSPECT \
+            and record.incarnation == rumour.incarnation \
+            and self._now - record.suspicion.began >= record.suspicion.shortest
+
     def _confirmed(self, record: Record, by: str) -> None:
         teller = self.table.get(by)
         if teller is not None and teller.live:
@@ -201,11 +208,16 @@
             if record.live and (change.before is None or change.before >= FAILED):
                 self._order.add(peer_id)
             if standing is not SUSPECT or record.own or not self.settings.lifeguard:
-                self._rumours.put(record.rumour())
+                self._tell(record)
             if standing is not change.before or change.moved:
                 returned = change.before is not None and change.before >= FAILED and record.live
                 self._out.append(Heard(record.peer, standing, record.incarnation, returned))
 
+    def _tell(self, record: Record) -> None:
+        self._rumours.put(record.rumour())
+        # Danger: a time that went by while there was no news would look like a pause of this process.
+        self._gossip_at = max(self._gossip_at, self._now)
+
     def _answered(self, packet: Ack) -> None:
         target = packet.target or packet.sender.id
         relay = self._open.relays.get(packet.number)
@@ -229,12 +241,8 @@
 
     def _welcome(self, packet: Join) -> None:
         asker = self.table.get(packet.sender.id)
-        self._answers = min(self.settings.answers,
-                            self._answers + (self._now - self._answers_at) * self.settings.answers)
-        self._answers_at = self._now
-        if asker is None or self._answers < 1:
+        if asker is None or not self._open.may_answer(self._now):
             return
-        self._answers -= 1
         known = self._slice() if asker.live else []
         for _ in range(self.settings.pieces):
             left = len(known)
@@ -256,6 +264,8 @@
                 self._changed(self.table.set(now, record, FAILED, record.incarnation), self.me.id)
         if self._seeds.due() <= now:
             self._join_seeds()
+        if self._gossip_at <= now and self._rumours:
+            self._gossip()
         if self._exchange_at <= now:
             self._exchange()
         if self._retry_at <= now:
@@ -273,7 +283,7 @@
             for record in self._suspects.values():
                 record.suspicion.began += late
             self._probe_at, self._exchange_at = self._probe_at + late, self._exchange_at + late
-            self._retry_at += late
+            self._retry_at, self._gossip_at = self._retry_at + late, self._gossip_at + late
 
     def _probe(self) -> None:
         probe = self._open.probe
@@ -287,7 +297,7 @@
             self._begin_probe()
 
     def _begin_probe(self) -> None:
-        live = [one.peer.id for one in self.table.records.values() if one.live]
+        live = self.table.ids(ALIVE, SUSPECT)
         target, times, number = self._order.next(live, set(self._suspects)), self._health.times(), self._open.draw()
         if target is None:
             self._probe_at = self._now + self.settings.probe_s
@@ -298,8 +308,7 @@
 
     def _ask_others(self, probe: Probe) -> None:
         probe.ask_others = inf
-        others = [one.peer.id for one in self.table.records.values()
-                  if one.standing is ALIVE and one.peer.id != probe.target]
+        others = [one for one in self.table.ids(ALIVE) if one != probe.target]
         for helper in self._random.sample(others, min(len(others), self.settings.helpers)):
             probe.helpers += 1
             self._post(helper, PingFor, probe.number, target=probe.target)
@@ -314,7 +323,7 @@
         elif not record.own:
             record.own = True
             record.suspicion.confirm(self.me.id)
-            self._rumours.put(record.rumour())
+            self._tell(record)
 
     def _relays(self) -> None:
         for number, relay in list(self._open.relays.items()):
@@ -329,11 +338,18 @@
         for seed in self._seeds.next(self._now):
             self._post(seed, Join, self._open.join(), seed=True)
 
+    def _gossip(self) -> None:
+        """While there is news it does not wait for probes: an answer that nobody asked for carries it."""
+        self._gossip_at = self._now + self.settings.gossip_s
+        live = self.table.ids(ALIVE)
+        if live:
+            self._post(self._random.choice(live), Ack, self._open.draw())
+
     def _exchange(self) -> None:
         """Ask one member for what it knows, and tell it a piece: so what gossip lost is caught up."""
         for peer_id in self.table.forget(self._now):
             self._rumours.drop(peer_id)
-        live = [one.peer.id for one in self.table.records.values() if one.standing is ALIVE]
+        live = self.table.ids(ALIVE)
         if live:
             self._post(self._random.choice(live), Join, self._open.join(), known=self._slice())
             self._exchange_gap = min(2 * self._exchange_gap, self.settings.exchange_s)
@@ -342,8 +358,8 @@
     def _retry(self) -> None:
         """Danger: after a cut both sides hold the other for failed; unless somebody tries, nobody ever asks again."""
         self._retry_at = self._now + self.settings.retry_s * self._random.uniform(0.8, 1.2)
-        failed = [one.peer.id for one in self.table.records.values() if one.standing is FAILED
-                  and name_of(one.peer.id) != self._name and not any(x.live for x in self.table.others(one.peer.id))]
+        failed = [one for one in self.table.ids(FAILED)
+                  if name_of(one) != self._name and not any(other.live for other in self.table.others(one))]
         living = {f"{one.peer.host}:{one.peer.port}" for one in self.table.records.values() if one.live}
         seed = self._seeds.astray(living)
         if seed is not None and (not failed or self._random.random() < 0.5):
@@ -357,10 +373,11 @@
     def _myself(self) -> Rumour:
         return Rumour(self.me, LEFT if self._left else ALIVE, self.incarnation)
 
-    def _slice(self) -> list[Record]:
+    def _slice(self) -> list[Rumour]:
+        """All that may be told, from anywhere on; no more than the pieces of one answer can take."""
         known = self.table.tellable(self._now)
         at = self._random.randrange(len(known)) if known else 0
-        return known[at:] + known[:at]
+        return [one.said() for one in (known[at:] + known[:at])[:40 * self.settings.pieces]]
 
     def _first_words(self, to: str, behind: int) -> list[Rumour]:
         """What `to` must hear before all: that it is suspected or taken for dead, or was of a higher incarnation."""
@@ -375,22 +392,12 @@
         return []
 
     def _post(self, to: str, kind: type[Packet], number: int, /, seed: bool = False, behind: int = -1,
-              known: list[Record] | None = None, **told: str) -> None:
-        """One packet with first words, then rumours, then of `known` (used up) what fits."""
+              known: list[Rumour] | None = None, **told: str) -> None:
+        """One packet with first words, then rumours, then of `known` (used up) what fits; none to who is not known."""
+        if not seed and self.table.get(to) is None:
+            return
         packet = kind(self.me, self.incarnation, number, (), **told)
-        room = MOST_PACKET - size(packet) - 2   # an array of more than 15 has a longer head
-        rumours = []
-        for rumour in self._first_words(to, behind):
-            if (needs := size(rumour)) <= room:
-                rumours.append(rumour)
-                room -= needs
-        without = {one.peer.id for one in rumours} | {to}
-        for rumour in self._rumours.take(room, self.table.living + 1, without):
-            rumours.append(rumour)
-            room -= size(rumour)
-        while known and known[0].bytes <= room:
-            record = known.pop(0)
-            if record.peer.id != to:
-                rumours.append(record.said())
-                room -= record.bytes
-        self._out.append(Post(to, replace(packet, rumours=tuple(rumours)), seed))
+        first = self._first_words(to, behind)
+        without = {one.peer.id for one in first} | ({to} if self.settings.lifeguard else set())
+        packet = fill(packet, first, self._rumours, self.table.living + 1, without, known or [])
+        self._out.append(Post(to, packet, seed))
--- a/linkdock/cluster/members/table.py
+++ b/linkdock/cluster/members/table.py
@@ -6,7 +6,6 @@
 
 from ..interface import Peer, Rumour, Standing, name_of
 from .health import Suspicion
-from .rumours import size
 from .settings import MembersSettings
 
 ALIVE, SUSPECT, FAILED, LEFT = Standing
@@ -23,10 +22,6 @@
     own: bool = False
     silent: bool = False
     suspicion: Suspicion | None = None
-    bytes: int = 0
-
-    def __post_init__(self) -> None:
-        self.bytes = size(self.rumour()) + 8   # an incarnation may grow
 
     @property
     def live(self) -> bool:
@@ -42,10 +37,7 @@
         return self.rumour()
 
     def stand(self, now: float, peer: Peer, standing: Standing, incarnation: int) -> None:
-        if peer is not self.peer:
-            self.peer = peer
-            self.bytes = size(self.rumour()) + 8
-        self.standing, self.incarnation, self.since = standing, incarnation, now
+        self.peer, self.standing, self.incarnation, self.since = peer, standing, incarnation, now
         self.own, self.suspicion = False, None
         self.silent = self.silent and standing >= FAILED
 
@@ -71,6 +63,9 @@
     def get(self, peer_id: str) -> Record | None:
         return self.records.get(peer_id)
 
+    def ids(self, *standings: Standing) -> list[str]:
+        return [one.peer.id for one in self.records.values() if one.standing in standings]
+
     def others(self, peer_id: str) -> list[Record]:
         """Other lives of the same name."""
         return [self.records[one] for one in self._lives.get(name_of(peer_id), ()) if one != peer_id]
