--- a/linkdock/cluster/members/asking.py
+++ b/linkdock/cluster/members/asking.py
@@ -94,7 +94,7 @@
         return min([probe, *(min(relay.nack, relay.end) for relay in self.relays.values())])
 
 
-class Round:
+class Order:
     """Who is probed next: all in shuffled order, suspects that others told of in between."""
 
     def __init__(self, random: Random) -> None:
--- a/linkdock/cluster/members/swim.py
+++ b/linkdock/cluster/members/swim.py
@@ -27,8 +27,7 @@
     Welcome,
     name_of,
 )
-from .asking import Open, Probe
-from .asking import Round as Order
+from .asking import Open, Order, Probe
 from .health import Health, Suspicion
 from .rumours import HIGHEST, MOST_ID, Rumours, believable, fill, sound
 from .seeds import Seeds
@@ -50,8 +49,7 @@
             raise ValueError(f"not a process of a fleet: {me}")
         self.me, self.settings = me, settings or MembersSettings()
         self.incarnation = min(max(0, incarnation), HIGHEST - 1)
-        self._random = Random(seed)
-        self._name = name_of(me.id)
+        self._random, self._name = Random(seed), name_of(me.id)
         self._health = Health(self.settings)
         self.table = Table(self.settings)
         self._rumours = Rumours(self.settings.spread)
@@ -132,9 +130,8 @@
                 self._ping_for(packet)
             case Ack():
                 self._answered(packet)
-            case Nack():
-                if self._open.of_probe(packet.number, packet.target):
-                    self._open.probe.nacks += 1
+            case Nack() if self._open.of_probe(packet.number, packet.target):
+                self._open.probe.nacks += 1
             case Join():
                 self._welcome(packet)
             case Welcome() if self._open.joined(packet.number):
--- a/linkdock/cluster/members/table.py
+++ b/linkdock/cluster/members/table.py
@@ -13,7 +13,8 @@
 
 @dataclass(slots=True)
 class Record:
-    """One life. `own`: this process's own probe of it failed; `silent`: never seen alive here, nobody is told."""
+    """One life. `own`: this process's own probe of it failed; `silent`: never seen alive here, nobody is told;
+    `behind`: it has spoken, but must rise over a later life of its name first."""
 
     peer: Peer
     standing: Standing
@@ -21,6 +22,7 @@
     since: float
     own: bool = False
     silent: bool = False
+    behind: bool = False
     suspicion: Suspicion | None = None
 
     @property
@@ -39,7 +41,7 @@
     def stand(self, now: float, peer: Peer, standing: Standing, incarnation: int) -> None:
         self.peer, self.standing, self.incarnation, self.since = peer, standing, incarnation, now
         self.own, self.suspicion = False, None
-        self.silent = self.silent and standing >= FAILED
+        self.silent, self.behind = self.silent and standing >= FAILED, self.behind and standing >= FAILED
 
 
 class Change:
@@ -78,6 +80,8 @@
         if not self.wins(rumour, record):
             return []
         if rumour.standing < FAILED and not record.live and self._outdone(rumour, record):
+            # Danger: an old life that still runs must not be forgotten, or it would be new to those who forgot it.
+            record.since = now if direct else record.since
             return []
         return self.set(now, record, rumour.standing, rumour.incarnation, rumour.peer)
 
@@ -87,7 +91,7 @@
 
     def _outdone(self, rumour: Rumour, record: Record) -> bool:
         """Danger: one whose place a later life has taken never comes back, whatever incarnation it says."""
-        if record.silent:
+        if record.behind:
             return self._behind(rumour)
         return any(one.live for one in self.others(rumour.peer.id))
 
@@ -131,7 +135,7 @@
         if len(self.records) >= self._settings.most_members and not self._make_room():
             return []
         standing = FAILED if behind and not dead else rumour.standing
-        record = Record(rumour.peer, standing, rumour.incarnation, now, silent=silent)
+        record = Record(rumour.peer, standing, rumour.incarnation, now, silent=silent, behind=silent and not dead)
         self.records[peer_id] = record
         self._lives.setdefault(name_of(peer_id), []).append(peer_id)
         if silent:
--- a/linkdock/lab/virtual_members.py
+++ b/linkdock/lab/virtual_members.py
@@ -9,7 +9,7 @@
 import json
 import sys
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -86,9 +86,12 @@
         self._order = count()
         self.all = [Process(n, f"p{n}", ZONES[n % len(ZONES)], f"10.0.{n >> 8}.{n & 255}:7000") for n in range(size)]
         self.by_address = {one.address: one for one in self.all}
+        self.named = {one.name: [one] for one in self.all}
         self.seeds = [one.address for one in self.all[:3]]
         self.events: list[Event] = []
         self.broken: Counter[str] = Counter()
+        self.taped: Process | None = None   # whose last packets are kept, to be sent again by a story
+        self.tape: deque[Packet] = deque(maxlen=200)
         self.packets = self.bytes = self.calls = 0
         self.cpu = 0.0
 
@@ -116,6 +119,15 @@
         for process in self.all:
             self.at(self.now + self.random.uniform(0, within), self.start, process)
 
+    def twin(self, process: Process) -> Process:
+        """Another of the same name with a folder of its own, at an address of its own; the first runs on."""
+        other = Process(len(self.all), process.name, process.zone, f"10.1.0.{len(self.all)}:7000", process.life + 1)
+        self.all.append(other)
+        self.named[process.name].append(other)
+        self.by_address[other.address] = other
+        self.start(other)
+        return other
+
     def crash(self, process: Process, folder_lost: bool = False) -> None:
         process.up, process.due = False, inf
         process.life += folder_lost
@@ -179,6 +191,8 @@
         size = len(_encode(post.packet))
         if size > MOST_DATAGRAM - 64:
             self.broken["size"] += 1
+        if process is self.taped:
+            self.tape.append(post.packet)
         self.packets += 1
         self.bytes += size
         if post.seed:
@@ -221,8 +235,7 @@
 
     def is_up(self, peer_id: str) -> bool:
         name, _, life = peer_id.rpartition("~")
-        process = self.all[int(name[1:])] if name[1:].isdigit() and int(name[1:]) < len(self.all) else None
-        return process is not None and process.up and str(process.life) == life
+        return any(one.up and str(one.life) == life for one in self.named.get(name, ()))
 
     def one_life(self, process: Process, name: str) -> None:
         lives = [one for one, rumour in process.machine.view().items()
--- a/linkdock/lab/virtual_members_stories.py
+++ b/linkdock/lab/virtual_members_stories.py
@@ -53,9 +53,12 @@
     """One dies while old packets are sent again: how soon it is known, first and everywhere."""
     world, measures = _begin(seed, size, settings, make)
     world.network.replay, world.network.replay_s = 0.1, (1.0, 30.0)
+    dead = world.taped = world.all[-1]
     world.run(world.now + 40)
-    dead, since = world.all[-1], world.now
+    since = world.now
     world.crash(dead)
+    for n in range(10000):
+        world.at(since + n / 100, lambda: world.arrive(world.random.choice(world.all), world.random.choice(world.tape)))
 
     def known() -> bool:
         return all(one.machine.view()[dead.id].standing is FAILED for one in world.running())
@@ -103,6 +106,7 @@
     measures["ill_failed_h"] = _alarms(world, since, {one.id for one in ill})["false_failed_h"]
     # Sound ones in a network without loss: at most one in 20 may ever be called failed an hour.
     world.broken["no false failure"] += measures["false_failed_h"] > 0.05
+    world.broken["few false suspicions"] += measures["false_suspect_h"] > 1.0
     return _end(world, measures)
 
 
@@ -110,6 +114,25 @@
     return pauses(seed, size, settings, make, longest=5.0)
 
 
+def weary(seed: int, size: int, settings: MembersSettings, make: type[Swim]) -> Measures:
+    """A third of the datagrams is lost, and a quarter of the processes stands still for 2 to 8 s now and then."""
+    world, measures = _begin(seed, size, settings, make)
+    world.network.loss = 0.33
+    ill, since = world.all[::4], world.now
+
+    def pause(process: Process) -> None:
+        world.pause(process, world.random.uniform(2.0, 8.0))
+        world.at(world.now + world.random.uniform(10, 20), pause, process)
+
+    for process in ill:
+        world.at(world.now + world.random.uniform(0, 10), pause, process)
+    world.run(since + 300)
+    sound = {one.id for one in world.all} - {one.id for one in ill}
+    measures |= _alarms(world, since, sound)
+    world.broken["few false failures"] += measures["false_failed_h"] > 5.0
+    return _end(world, measures)
+
+
 def deaf(seed: int, size: int, settings: MembersSettings, make: type[Swim]) -> Measures:
     """One process answers and hears 2 to 4 s late, all along: what it says of the others must not count for much."""
     world, measures = _begin(seed, size, settings, make)
@@ -245,6 +268,28 @@
     return _end(world, measures)
 
 
+def twin(seed: int, size: int, settings: MembersSettings, make: type[Swim]) -> Measures:
+    """A second process of one name appears while the first runs on: the new one alone counts, for all."""
+    world, measures = _begin(seed, size, settings, make)
+    world.run(world.now + 70)
+    old = world.all[-1]
+    new = world.twin(old)
+
+    def only_new() -> bool:
+        return all({new.id, old.id} & world.sees(one) == {new.id} for one in world.running() if one is not old)
+    measures["taken_over_s"] = world.settle(60, only_new)
+    world.broken["taken over"] += measures["taken_over_s"] is None
+    quiet = world.now
+    late = world.all[0]
+    world.crash(late, folder_lost=True)
+    world.start(late)
+    world.run(world.now + 120)
+    world.broken["stays dead"] += sum(one.at > quiet and one.heard.standing is ALIVE and one.heard.peer.id == old.id
+                                      for one in world.events)
+    world.broken["taken over"] += not only_new()
+    return _end(world, measures)
+
+
 def forget(seed: int, size: int, settings: MembersSettings, make: type[Swim]) -> Measures:
     """Those that failed are forgotten by all, and stay so."""
     from msgspec.structs import replace
@@ -314,6 +359,7 @@
 
 
 STORIES: dict[str, Story] = {
-    "crash": crash, "loss": loss, "pauses": pauses, "long-pauses": long_pauses, "slow": deaf, "cut": cut,
-    "one-way": one_way, "idle": idle, "returns": returns, "lies": lies, "forget": forget, "all": all_at_once,
+    "crash": crash, "loss": loss, "pauses": pauses, "long-pauses": long_pauses, "weary": weary, "slow": deaf,
+    "cut": cut, "one-way": one_way, "idle": idle, "returns": returns, "twin": twin, "lies": lies, "forget": forget,
+    "all": all_at_once,
 }
