--- a/linkdock/lab/virtual_members.py
+++ b/linkdock/lab/virtual_members.py
@@ -165,10 +165,10 @@
         self._call(process, lambda: machine.receive(self.now, packet))
 
     def _call(self, process: Process, what: Callable[[], list[Post | Heard]]) -> None:
-        began = time.perf_counter()
+        began = time.process_time()
         out = what()
         due = process.machine.next_due()
-        self.cpu += time.perf_counter() - began
+        self.cpu += time.process_time() - began
         self.calls += 1
         if due != process.due:
             process.due = due
