--- a/linkdock/lab/virtual_members.py
+++ b/linkdock/lab/virtual_members.py
@@ -56,6 +56,7 @@
     slow: float = 0.0        # seconds that each datagram waits before it is looked at, at the most
     due: float = inf
     inbox: list[Packet] = field(default_factory=list)
+    dead: dict[str, int] = field(default_factory=dict)   # who has failed or left at what incarnation, as it was told
 
     @property
     def id(self) -> str:
@@ -73,6 +74,7 @@
     by: str
     heard: Heard
     was_up: bool    # that life was running then
+    knew: bool      # this run of the process had heard before that it failed or left at this incarnation or a higher
 
 
 class World:
@@ -110,7 +112,7 @@
 
     def start(self, process: Process, incarnation: int = 0) -> None:
         """The same life as before, with an empty memory."""
-        process.up, process.paused, process.inbox = True, False, []
+        process.up, process.paused, process.inbox, process.dead = True, False, [], {}
         seed = self.random.getrandbits(32)
         process.machine = self.make(process.peer(), self.settings, seed, incarnation)
         self._call(process, lambda: process.machine.join(self.now, self.seeds))
@@ -181,7 +183,11 @@
                 self._told(process, one)
 
     def _told(self, process: Process, heard: Heard) -> None:
-        self.events.append(Event(self.now, process.id, heard, self.is_up(heard.peer.id)))
+        peer_id = heard.peer.id
+        knew = process.dead.get(peer_id, -1) >= heard.incarnation
+        self.events.append(Event(self.now, process.id, heard, self.is_up(peer_id), knew))
+        if heard.standing >= Standing.FAILED:
+            process.dead[peer_id] = max(heard.incarnation, process.dead.get(peer_id, -1))
         if heard.standing is Standing.ALIVE:
             self.one_life(process, name_of(heard.peer.id))
 
