--- a/linkdock/lab/virtual_members_stories.py
+++ b/linkdock/lab/virtual_members_stories.py
@@ -13,7 +13,7 @@
 from ..cluster.members.rumours import HIGHEST
 from ..cluster.members.settings import MembersSettings
 from ..cluster.members.swim import Swim
-from .virtual_members import Process, World
+from .virtual_members_world import Process, World
 
 Measures = dict[str, object]
 Story = Callable[[int, int, MembersSettings, type[Swim]], Measures]
