--- a/linkdock/cluster/settings.py
+++ b/linkdock/cluster/settings.py
@@ -47,6 +47,9 @@
         ge=10, le=5000, description="Between two heartbeats of the log's leader.")] = 150
     election_ms: Annotated[int, msgspec.Meta(
         ge=50, le=60000, description="Shortest time without a leader before another one is elected.")] = 1000
+    probe_ms: Annotated[int, msgspec.Meta(
+        ge=20, le=60000, description="Between two probes of the membership; a failure is known some of them later.")
+    ] = 1000
     drift: Annotated[float, msgspec.Meta(
         ge=0, le=0.2, description="How much faster or slower than true time a process's clock may run.")] = 0.02
     disk_mb: Annotated[float, msgspec.Meta(
--- a/linkdock/cluster/wire.py
+++ b/linkdock/cluster/wire.py
@@ -40,12 +40,11 @@
 
 
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag_field="kind", tag="ans"):
-    """`data` is the state's answer; empty, with `why` and perhaps the leader's id, if it was not taken."""
+    """To one run of a process. `data` is the state's answer; empty if the leader has too much to do to take it."""
 
+    who: str
     number: int
     data: bytes = b""
-    why: str = ""
-    leader: str | None = None
 
 
 class AskFresh(msgspec.Struct, frozen=True, array_like=True, tag_field="kind", tag="fresh?"):
