Run log, membership and links in the process's loop behind one node

Founding takes the word of every other founder that it holds no log; a mark in one file would found a second log once its folder is lost.

--- a/linkdock/cluster/links.py
+++ b/linkdock/cluster/links.py
@@ -190,7 +190,8 @@
 class Links:
     """Owner of the sockets.
 
-    `where` gives a peer's address now; `heard` and `packet` take what comes in, and may not wait; `spawn` runs a coroutine as a task of the owner's.
+    `where` gives a peer's address now; `heard` and `packet` take what comes in, and may not wait; `spawn` runs a
+    coroutine as a task of the owner's.
     """
 
     def __init__(self, seal: Seal, sockets: tuple[socket.socket, socket.socket], where: Where,
--- a/linkdock/cluster/steering.py
+++ b/linkdock/cluster/steering.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from .errors import BadChange, ChangeOpen, NotLeading, TooLarge
@@ -22,8 +23,8 @@
 class Steering:
     """Owner of the bookkeeping about who has been away for how long, and who holds no log."""
 
-    def __init__(self, node: Node) -> None:
-        self._node = node
+    def __init__(self, node: Node, alarm: Alarm) -> None:
+        self._node, self._alarm = node, alarm
         self._down: dict[str, float] = {}                # by id: since when, as heard here
         self._fresh: dict[str, tuple[float, bool]] = {}  # by id: when it said whether it holds no log
         self._not_yet: dict[str, float] = {}
@@ -37,6 +38,7 @@
                 del self._down[next(iter(self._down))]
         else:
             self._down.pop(peer_id, None)
+        self._alarm.set()
 
     def told(self, sender: str, fresh: bool) -> None:
         self._fresh.pop(sender, None)
@@ -44,18 +46,19 @@
         if len(self._fresh) > MOST_DOWN:
             del self._fresh[next(iter(self._fresh))]
 
-    async def run(self, alarm: Alarm) -> None:
+        self._alarm.set()
+
+    async def run(self) -> None:
         while True:
-            now, core = self._node.clock(), self._node.core
+            now, core = self._node.clock(), self._node.engine.core
             if not core.config.voters:
-                await self._founds(now)
+                self._founds(now)
             elif core.leading:
                 self._steer(now)
-            await alarm.wait(now + EVERY)
-            if self._node.clock() - now < LEAST:
-                await alarm.wait(now + LEAST)
+            await asyncio.sleep(LEAST)
+            await self._alarm.wait(now + EVERY)
 
-    async def _founds(self, now: float) -> None:
+    def _founds(self, now: float) -> None:
         """Found the log if this process is the one to do so.
 
         Danger: two logs. A mark in the file of one process stays there when its folder is lost, and it would found a
@@ -72,14 +75,14 @@
                  if peer_id in others and now - at <= FRESH_FOR}
         there = {name_of(peer_id) for peer_id, word in words.items() if word}
         if all(words.values()) and len(words) == len(others) and there >= set(founders[1:]):
-            await node.found()
+            node.engine.found()
             return
         for peer_id in others:
             node.links.send(peer_id, AskFresh())
 
     def _steer(self, now: float) -> None:
         node = self._node
-        core, view = node.core, node.view()
+        core, view = node.engine.core, node.view()
         for peer_id in (*core.config.voters, *core.config.learners):
             if peer_id not in view:
                 self._down.setdefault(peer_id, now)
@@ -95,4 +98,4 @@
             self._not_yet.update(dict.fromkeys(set(new.voters) - set(core.config.voters), now + NOT_YET))
         except (ChangeOpen, NotLeading, TooLarge):
             pass   # it is looked at again
-        node.wake()
+        node.engine.wake()
