Raise each run's incarnation over the last one's, and open links before joining

A process that came back within a second at another port was told to have left under the incarnation it began with again, and its answers went to the old port. The folder now keeps where the last run began.

--- a/linkdock/cluster/engine.py
+++ b/linkdock/cluster/engine.py
@@ -99,6 +99,7 @@
         await self._on_disk(self.storage.write, None, (), stored.image)
         self._begin(stored)
         self._founding = False
+        self.core.fire(self.clock())   # there is nobody else to wait for
         log.info("%s has founded the log", self.me)
 
     async def _on_disk(self, work: Callable, *given: object) -> None:
--- a/linkdock/cluster/links.py
+++ b/linkdock/cluster/links.py
@@ -210,11 +210,14 @@
         self._server = _Server(self)
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def run(self) -> None:
-        """Take what comes in, and sweep, until closed."""
+    async def open(self) -> None:
+        """Take what comes in from now on."""
         self._server.add_socket(self._tcp)
         self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: _Datagrams(self), sock=self._udp)
+
+    async def sweep(self) -> None:
+        """Close what is late, until all is closed."""
         while not self.closed:
             await asyncio.sleep(KEEP / 4)
             self._sweep()
--- a/linkdock/cluster/node.py
+++ b/linkdock/cluster/node.py
@@ -18,7 +18,7 @@
 
 from .disk import Files, FolderInUse, StorageFailed
 from .engine import Alarm, Change, Engine
-from .errors import ClusterError, NoQuorum, Torn
+from .errors import ClusterError, NoQuorum
 from .holding import Holding
 from .interface import AnyPacket, Message, Peer, Post, Rumour
 from .leases import Answer, Command, Held, State
@@ -36,6 +36,7 @@
 
 TRY_AGAIN = 1.0     # seconds until a folder or port that another process has is tried again
 DEADLINE = 2.0      # seconds of a proposal, if its caller does not say
+NOWHERE = "-"       # the zone of a process that is not told any
 LOOK = 0.01         # seconds between looks whether another one leads, at the end
 
 
@@ -80,7 +81,8 @@
         if self._closing:
             return
         try:
-            self._storage = Storage(self._folder, int(self.settings.disk_mb * 1e6), self._files)
+            self._storage = Storage(self._folder, int(self.settings.disk_mb * 1e6), self._files,
+                                    begun=int(time.time()))
             self._sockets = bind(*address(self.settings.listen))
             self._take_part(self._storage, self._sockets)
         except (FolderInUse, OSError) as bad:
@@ -92,7 +94,7 @@
         except ClusterError as bad:
             self._fail(bad)
         except ValueError as bad:
-            self._fail(Torn(str(bad)))
+            self._fail(ClusterError(str(bad)))
 
     def _give_back(self) -> None:
         for one in self._sockets:
@@ -109,10 +111,10 @@
             host, port = address(told.advertise)
         self._routes = {name: address(where) for name, where in told.routes.items()}
         probe, election = told.probe_ms / 1000, told.election_ms / 1000
-        self.members = Swim(Peer(self.id, told.zone, told.region, host, port),
+        self.members = Swim(Peer(self.id, told.zone or NOWHERE, told.region, host, port),
                             MembersSettings(probe_s=probe, answer_s=0.4 * probe, nack_s=0.3 * probe,
                                             join_s=min(0.5, probe), retry_s=5 * probe),
-                            self._random.getrandbits(32), int(time.time()))
+                            self._random.getrandbits(32), storage.begun)
         self.links = Links(Seal(self._key, told.cluster, self.id), sockets, self._where, self._on_frame,
                            self._on_packet, self.spawn, self.clock, self._random)
         engine = Engine(self.id, storage, LogSettings(heartbeat=told.heartbeat_ms / 1000, election=election,
@@ -126,7 +128,7 @@
         engine.applied, engine.led = self._proposals.applied, self._proposals.leader_changed
         engine.changed, engine.watchers = self._steer_due.set, self._watchers
         self.engine = engine
-        for work in (self.links.run(), self._run(), self._gossip(), self.steering.run()):
+        for work in (self.links.sweep(), self._run(), self._gossip(), self.steering.run()):
             self.spawn(work)
 
     def spawn(self, work: Coroutine) -> asyncio.Task:
@@ -197,6 +199,7 @@
                 self.links.post(where, one.packet)
 
     async def _gossip(self) -> None:
+        await self.links.open()
         self._post(self.members.join(self.clock(), list(self.settings.seeds)))
         while True:
             await self._gossip_due.wait(self.members.next_due())
--- a/linkdock/cluster/settings.py
+++ b/linkdock/cluster/settings.py
@@ -101,4 +101,4 @@
 
 
 def schema() -> dict:
-    return msgspec.json.schema(ClusterSettings)
+    return msgspec.json.decode(msgspec.json.encode(msgspec.json.schema(ClusterSettings)))   # tuples as lists
