Answer a member where it says it is, and take addresses only as numbers

A process that came back at another port under a lower incarnation was answered at its old port for ever. A name in place of an address would be looked up by the loop at each datagram.

--- a/linkdock/cluster/disk.py
+++ b/linkdock/cluster/disk.py
@@ -17,7 +17,6 @@
 SECTOR = 512
 LEAST_TAIL = 16                # zeros at a file's end that count as never written
 VERSION = 1
-STEP = 16                      # from one run to the next, at least: so often may it be contradicted in between
 _BAD = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
@@ -112,7 +111,6 @@
 
 class Identity(msgspec.Struct, frozen=True, array_like=True, tag="identity"):
     life: str
-    begun: int   # rises with each run: when it began in seconds of the wall clock, or by STEP if that went back
 
 
 _record = msgspec.msgpack.Decoder(FileHead | VoteRecord | Begin | EntriesRecord | ImageRecord | Identity)
--- a/linkdock/cluster/links.py
+++ b/linkdock/cluster/links.py
@@ -41,10 +41,9 @@
 
 def bind(host: str, port: int) -> tuple[socket.socket, socket.socket]:
     """A listening socket and one for datagrams, of the same port; any free one for 0. Raises OSError."""
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
     for _ in range(16):
-        tcp = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        udp = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
         try:
             tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             tcp.bind((host, port))
--- a/linkdock/cluster/node.py
+++ b/linkdock/cluster/node.py
@@ -20,7 +20,7 @@
 from .engine import Alarm, Change, Engine
 from .errors import ClusterError, NoQuorum
 from .holding import Holding
-from .interface import AnyPacket, Message, Peer, Post, Rumour
+from .interface import AnyPacket, Message, Peer, Post, Rumour, name_of
 from .leases import Answer, Command, Held, State
 from .links import Links, bind
 from .log.settings import LogSettings
@@ -81,8 +81,7 @@
         if self._closing:
             return
         try:
-            self._storage = Storage(self._folder, int(self.settings.disk_mb * 1e6), self._files,
-                                    begun=int(time.time()))
+            self._storage = Storage(self._folder, int(self.settings.disk_mb * 1e6), self._files)
             self._sockets = bind(*address(self.settings.listen))
             self._take_part(self._storage, self._sockets)
         except (FolderInUse, OSError) as bad:
@@ -114,7 +113,7 @@
         self.members = Swim(Peer(self.id, told.zone or NOWHERE, told.region, host, port),
                             MembersSettings(probe_s=probe, answer_s=0.4 * probe, nack_s=0.3 * probe,
                                             join_s=min(0.5, probe), retry_s=5 * probe),
-                            self._random.getrandbits(32), storage.begun)
+                            self._random.getrandbits(32), int(time.time()))
         self.links = Links(Seal(self._key, told.cluster, self.id), sockets, self._where, self._on_frame,
                            self._on_packet, self.spawn, self.clock, self._random)
         engine = Engine(self.id, storage, LogSettings(heartbeat=told.heartbeat_ms / 1000, election=election,
@@ -167,7 +166,7 @@
     # --- The others.
 
     def _where(self, peer_id: str) -> tuple[str, int] | None:
-        route = self._routes.get(peer_id.rpartition("~")[0])
+        route = self._routes.get(name_of(peer_id))
         if route is not None:
             return route
         rumour = self.members.view().get(peer_id)
@@ -186,15 +185,21 @@
             self.steering.told(sender, message.fresh)
 
     def _on_packet(self, packet: AnyPacket) -> None:
-        self._post(self.members.receive(self.clock(), packet))
+        self._post(self.members.receive(self.clock(), packet), packet.sender)
         self._gossip_due.set()
 
-    def _post(self, out: list) -> None:
+    def _post(self, out: list, asker: Peer | None = None) -> None:
+        """Danger: one that came back at another port, and is still known at the old one, would never be answered there
+        that it has to raise its incarnation. So an answer goes to where its asker says it is.
+        """
         for one in out:
             if not isinstance(one, Post):
                 self.steering.heard(one)
                 continue
-            where = address(one.to) if one.seed else self._where(one.to)
+            if asker is not None and one.to == asker.id and name_of(one.to) not in self._routes:
+                where = asker.host, asker.port
+            else:
+                where = address(one.to) if one.seed else self._where(one.to)
             if where is not None:
                 self.links.post(where, one.packet)
 
--- a/linkdock/cluster/proposals.py
+++ b/linkdock/cluster/proposals.py
@@ -62,6 +62,7 @@
             if self.failed is not None:
                 raise self.failed
             one = self._open[number] = _Open(data, asyncio.get_running_loop().create_future())
+            one.answer.add_done_callback(lambda answer: answer.cancelled() or answer.exception())   # it may be too late
             while True:
                 self._ask(number, one)
                 left = until - self._clock()
--- a/linkdock/cluster/settings.py
+++ b/linkdock/cluster/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -10,7 +11,7 @@
 from ..options import OptionError
 
 NAME = "^[^~#\\s]{1,64}$"
-ADDRESS = "^\\S{1,255}:[0-9]{1,5}$"
+ADDRESS = "^[0-9.]{7,15}:[0-9]{1,5}$"
 LEAST_KEY = 16
 
 
@@ -60,7 +61,17 @@
 
 def address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
-    return host.strip("[]"), int(port)
+    return host, int(port)
+
+
+def _numeric(text: str) -> bool:
+    """Danger: a name in place of an address is looked up at each datagram, and the loop waits for it."""
+    host, _, port = text.rpartition(":")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError:
+        return False
+    return port.isdecimal() and int(port) <= 65535
 
 
 def read(text: bytes) -> ClusterSettings:
@@ -72,9 +83,10 @@
     for key, all_of in (("listen", (told.listen,)), ("advertise", (told.advertise,) if told.advertise else ()),
                         ("seeds", told.seeds), ("routes", tuple(told.routes.values()))):
         for one in all_of:
-            host, _, port = one.rpartition(":")
-            if not host or not port.isdigit() or int(port) > 65535:
-                raise OptionError(f"cluster.json: {key}: must be an address with a port, not {one!r}")
+            if not _numeric(one):
+                raise OptionError(f"cluster.json: {key}: must be an IPv4 address with a port, not {one!r}")
+    if told.listen.startswith("0.0.0.0:") and not told.advertise:
+        raise OptionError("cluster.json: advertise: must be given where listen is every address")
     if told.election_ms < 4 * told.heartbeat_ms:
         raise OptionError(f"cluster.json: election_ms must be at least four times heartbeat_ms, "
                           f"{4 * told.heartbeat_ms}, not {told.election_ms}")
--- a/linkdock/cluster/storage.py
+++ b/linkdock/cluster/storage.py
@@ -19,7 +19,6 @@
 import msgspec
 
 from .disk import (
-    STEP,
     VERSION,
     Begin,
     EntriesRecord,
@@ -47,8 +46,8 @@
     """
 
     def __init__(self, folder: Path, disk_bytes: int, files: Files | None = None,
-                 draw: Callable[[int], bytes] = os.urandom, begun: int = 0) -> None:
-        """`begun`: the wall clock's seconds. Raises FolderInUse, Torn, StorageFailed; nothing is then held."""
+                 draw: Callable[[int], bytes] = os.urandom) -> None:
+        """Raises FolderInUse, Torn, StorageFailed; nothing is then held."""
         self._folder, self._most, self._files = folder, disk_bytes, files or Files()
         self._part = max(disk_bytes // (2 * PARTS), 4096)
         self.failed: StorageFailed | None = None
@@ -70,7 +69,7 @@
             self.close()
             raise StorageFailed(f"{folder}: {bad.strerror}") from None
         try:
-            self.life, self.begun = self._identity(draw, begun)
+            self.life = self._identity(draw)
             self.stored = self._load()
         except OSError as bad:
             self.close()
@@ -99,21 +98,19 @@
             raise Torn(f"{name}: is not what it should be")
         return records[0]
 
-    def _identity(self, draw: Callable[[int], bytes], begun: int) -> tuple[str, int]:
+    def _identity(self, draw: Callable[[int], bytes]) -> str:
         names = self._files.names(self._folder)
         for name in names:
             if name.endswith(".new"):
                 self._files.remove(self._folder / name)
         if "identity" in names:
-            told = self._only("identity", Identity)
-            life, begun = told.life, max(begun, told.begun + STEP)
-        elif any(name == "image" or name.startswith("log.") for name in names):
+            return self._only("identity", Identity).life
+        if any(name == "image" or name.startswith("log.") for name in names):
             # Danger: the votes of a life that nobody knows any more.
             raise Torn("identity: is missing beside a log")
-        else:
-            life = draw(8).hex()
-        self._put("identity", pack(Identity(life, begun)))
-        return life, begun
+        life = draw(8).hex()
+        self._put("identity", pack(Identity(life)))
+        return life
 
     def _load(self) -> Stored:
         names = self._files.names(self._folder)
--- a/tests/test_cluster_node.py
+++ b/tests/test_cluster_node.py
@@ -361,7 +361,8 @@
 @pytest.mark.parametrize("text, named", [
     ('{"listen": "no port"}', "listen"), ('{"seeds": ["a:99999"]}', "seeds"), ('{"voters": 4}', "voters"),
     ('{"heartbeat_ms": 400}', "election_ms"), ('{"founders": ["a", "a"]}', "founders"), ('{"on": true}', "key_file"),
-    ('{"key": "short"}', "key"), ('{"routes": {"a": ":1"}}', "routes"), ('{"cap": 3}', "cap"), ("[", "cluster.json")])
+    ('{"key": "short"}', "key"), ('{"routes": {"a": ":1"}}', "routes"),
+    ('{"seeds": ["1.2.3.256:1"]}', "seeds"), ('{"listen": "0.0.0.0:1"}', "advertise"), ('{"cap": 3}', "cap"), ("[", "cluster.json")])
 def test_settings_that_cannot_be_right_are_named(text, named):
     with pytest.raises(OptionError) as bad:
         settings.read(text.encode())
