--- a/tests/test_cluster_leases.py
+++ b/tests/test_cluster_leases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
 import random
 
@@ -10,6 +11,7 @@
 from linkdock.cluster import leases
 from linkdock.cluster.errors import Fenced
 from linkdock.cluster.fence import Fence
+from linkdock.cluster.holding import Holding
 from linkdock.cluster.leases import (
     Acquire,
     Conflict,
@@ -170,6 +172,33 @@
     assert held.holds(111.81) and held.renew_at == 106.0
 
 
+def test_a_lease_asked_for_is_held_from_the_question_on_and_lost_when_its_time_is_over():
+    now, answers = 100.0, {Acquire: Granted(7, 9000), Renew: Done(8), Release: Done(9)}
+
+    async def propose(command, deadline):
+        nonlocal now
+        now += 2.0   # the answer's way
+        return answers[type(command)]
+
+    async def story():
+        tasks = []
+        holding = Holding("x", 0.02, propose, lambda work: tasks.append(asyncio.ensure_future(work)), lambda: now)
+        held = await holding.acquire("a", 9.0, 5.0)
+        assert held.until == 100 + 9 * 0.98 and held.renew_at == 103
+        assert await holding.acquire("a", 9.0, 5.0) == Taken("x", 7)
+        assert await holding.renew(held) and held.until == 102 + 9 * 0.98
+        answers[Renew] = Lost()
+        assert not await holding.renew(held) and held.lost and not holding.held
+        again = await holding.acquire("a", 9.0, 5.0)
+        await holding.release(again, 5.0)
+        assert not again.holds(now)
+        answers[Acquire] = Granted(9, 1000)   # over before its answer is here
+        assert await holding.acquire("a", 1.0, 5.0) == Lost() and not holding.held
+        for task in tasks:
+            task.cancel()
+    asyncio.run(story())
+
+
 def test_the_fence_lets_nobody_in_with_an_older_token_also_after_a_restart_and_beyond_its_bound():
     kept = []
     fence = Fence(lambda: kept[-1] if kept else None, kept.append, most=3)
--- a/tests/test_cluster_node.py
+++ b/tests/test_cluster_node.py
@@ -19,7 +19,7 @@
 from linkdock.cluster.errors import Fenced, NoQuorum
 from linkdock.cluster.fence import Fence
 from linkdock.cluster.interface import Config, Peer, Rumour, Standing, name_of
-from linkdock.cluster.leases import Done, Held, Put, Taken
+from linkdock.cluster.leases import Done, Held, Put, Taken, encode
 from linkdock.cluster.log.checks import change_fault
 from linkdock.cluster.node import Node, open_node
 from linkdock.cluster.places import who_votes
@@ -147,6 +147,10 @@
     at = stopped.clock()
     stopped.holding._clock = lambda: at                                       # its time stands still from here on
     stopped.links.close()
+    third = next(node for node in nodes if node not in (stopped, other))
+    other.engine.core.hand_over(other.clock(), third.id)   # whoever leads then has to end it
+    other.engine.wake()
+    await until(lambda: third.engine.core.leading)
     took = None
 
     async def take():
@@ -191,7 +195,8 @@
 
     def losing(to, message):
         if isinstance(message, Answered) and len(lost) < 1:
-            lost.append(message)
+            lost.append(message)   # instead of it comes one to an earlier run of the same process
+            send(to, Answered(asker.id + "#earlier", message.number, encode(Taken("x", 1))))
         else:
             send(to, message)
     leader.links.send = leader.engine._send = leader._proposals._send = losing
@@ -230,6 +235,19 @@
     await leader.close()
 
 
+@story
+async def test_what_a_follower_could_not_write_it_has_not_promised(fleet):
+    nodes = await fleet.founded()
+    leader = fleet.nodes[fleet.leader]
+    others = [node for node in nodes if node is not leader]
+    for node in others:
+        node.engine.storage._files = Breaking()
+        node.engine.storage._files.full = True
+    with pytest.raises(NoQuorum):
+        await leader.propose(Put("k", b"v"), 0.5)
+    assert all(node.failed for node in others) and "k" not in leader.engine.state.register
+
+
 @story
 async def test_a_slow_disk_does_not_hold_the_loop(fleet):
     nodes = await fleet.founded(election_ms=2000)
@@ -362,7 +380,8 @@
     ('{"listen": "no port"}', "listen"), ('{"seeds": ["a:99999"]}', "seeds"), ('{"voters": 4}', "voters"),
     ('{"heartbeat_ms": 400}', "election_ms"), ('{"founders": ["a", "a"]}', "founders"), ('{"on": true}', "key_file"),
     ('{"key": "short"}', "key"), ('{"routes": {"a": ":1"}}', "routes"),
-    ('{"seeds": ["1.2.3.256:1"]}', "seeds"), ('{"listen": "0.0.0.0:1"}', "advertise"), ('{"cap": 3}', "cap"), ("[", "cluster.json")])
+    ('{"seeds": ["1.2.3.256:1"]}', "seeds"), ('{"listen": "0.0.0.0:1"}', "advertise"),
+    ('{"cap": 3}', "cap"), ("[", "cluster.json")])
 def test_settings_that_cannot_be_right_are_named(text, named):
     with pytest.raises(OptionError) as bad:
         settings.read(text.encode())
--- a/tests/test_cluster_wire.py
+++ b/tests/test_cluster_wire.py
@@ -56,6 +56,7 @@
 def test_another_key_cluster_receiver_or_sender_is_refused():
     for other in ({"key": KEY + "."}, {"cluster": "d"}, {"to": "b~2"}):
         refuse(lambda other=other: pair(**other))
+    refuse(Seal(KEY, "c", "b~1").accept().greeted, Seal(KEY, "c", "a~1").dial("b~2").hello()[4:])
     a, back = Seal(KEY, "c", "a~1").dial("b~1"), pair()[3]
     refuse(a.greeted, back[4:])            # an answer to another greeting
     refuse(a.greeted, a.hello()[4:])       # its own greeting
