--- a/tests/test_cluster_node.py
+++ b/tests/test_cluster_node.py
@@ -151,13 +151,8 @@
     other.engine.core.hand_over(other.clock(), third.id)   # whoever leads then has to end it
     other.engine.wake()
     await until(lambda: third.engine.core.leading)
-    took = None
-
-    async def take():
-        nonlocal took
-        while not isinstance(took, Held):
-            took = await other.acquire("shard", 0.4)
-    await asyncio.wait_for(take(), LIMIT)
+    await until(lambda: "shard" not in other.engine.state.leases)
+    took = await other.acquire("shard", 0.4)
     assert not held.holds(other.clock()) and took.token > held.token          # by true time they do not overlap
     assert held.holds(stopped.holding._clock())                               # it believes it all the same
     fence.check("shard", took.token, other.id)
