--- a/linkdock/cluster/engine.py
+++ b/linkdock/cluster/engine.py
@@ -65,6 +65,7 @@
         self._known: tuple[str | None, int] = (None, -1)
         self._stirred = Alarm(loop)
         self._founding = False
+        self._unwritten = 0              # bytes proposed here that the folder does not count yet
         self.writes, self.longest_write = 0, 0.0
         self._begin(storage.stored)
         storage.stored = Stored()   # the log holds it from now on
@@ -80,6 +81,15 @@
         """The machine was given something to do."""
         self._stirred.set()
 
+    def propose(self, data: bytes) -> int:
+        """The term that the entry belongs to. Raises NotLeading, TooBusy, TooLarge."""
+        if self._unwritten + len(data) > self.storage.room:
+            raise TooBusy
+        term, _ = self.core.propose(self.clock(), data)
+        self._unwritten += len(data)
+        self.wake()
+        return term
+
     def step(self, sender: str, message: Message) -> None:
         if self._founding:
             return   # Danger: another's log taken in while its own is begun
@@ -121,12 +131,14 @@
             if core.next_due() <= now:
                 core.tick(now)
             for expire in self._leases.expire(now):
-                self._expire(now, expire)
+                self._expire(expire)
             ready = core.ready()
             self._leader_is()
             if ready is not None:
+                handed_out = self._unwritten
                 await self._carry_out(ready)
-                if self.storage.wants_image and self._term:
+                self._unwritten -= handed_out
+                if self.storage.wants_image(self.index):
                     await self._compact()
             else:
                 await self._stirred.wait(min(core.next_due(), self._leases.next_due()))
@@ -185,9 +197,9 @@
             self._leases.quit()
         self.led()
 
-    def _expire(self, now: float, expire: Command) -> None:
+    def _expire(self, expire: Command) -> None:
         try:
-            self.core.propose(now, request("", 0, expire))
+            self.propose(request("", 0, expire))
         except (NotLeading, TooBusy):
             pass   # the next leader gives the lease its whole time; or it is proposed again
 
--- a/linkdock/cluster/links.py
+++ b/linkdock/cluster/links.py
@@ -11,8 +11,10 @@
 import socket
 from collections import deque
 from collections.abc import Callable, Coroutine
+from datetime import timedelta
 from random import Random
 
+from tornado import gen
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
@@ -81,7 +83,7 @@
                 try:
                     await self._connection()
                     return   # idle
-                except (OSError, StreamClosedError, TimeoutError):
+                except (OSError, StreamClosedError, TimeoutError, gen.TimeoutError):
                     self._links.count["broken"] += 1
                 except Foreign as bad:
                     self._links.foreign(bad)
@@ -103,8 +105,8 @@
         links, where = self._links, self._links.where(self._peer)
         if where is None:
             return
-        stream = self.stream = await asyncio.wait_for(
-            links.client.connect(*where, max_buffer_size=2 * MOST_FRAME), CONNECT)
+        stream = self.stream = await links.client.connect(*where, max_buffer_size=2 * MOST_FRAME,
+                                                          timeout=timedelta(seconds=CONNECT))
         stream.set_nodelay(True)
         session = links.seal.dial(self._peer)
         stream.write(session.hello())
--- a/linkdock/cluster/node.py
+++ b/linkdock/cluster/node.py
@@ -119,8 +119,7 @@
         engine = Engine(self.id, storage, LogSettings(heartbeat=told.heartbeat_ms / 1000, election=election,
                                                       span=election, drift=told.drift),
                         told.drift, self._random, self._loop, self.links.send)
-        self._proposals = Proposals(f"{self.id}#{os.urandom(8).hex()}", lambda: engine.core, self.links.send,
-                                    engine.wake, self.clock, election)
+        self._proposals = Proposals(f"{self.id}#{os.urandom(8).hex()}", engine, self.links.send, self.clock, election)
         self.holding = Holding(self.id, told.drift, self.propose, self.spawn, self.clock)
         self._gossip_due, self._steer_due = Alarm(self._loop), Alarm(self._loop)
         self.steering = Steering(self, self._steer_due)
--- a/linkdock/cluster/proposals.py
+++ b/linkdock/cluster/proposals.py
@@ -5,13 +5,17 @@
 import asyncio
 from collections.abc import Callable
 from itertools import count
+from typing import TYPE_CHECKING
 
 from . import leases
 from .errors import ClusterError, NoQuorum, NotLeading, TooBusy, TooLarge
-from .interface import MOST_ENTRY, Log
+from .interface import MOST_ENTRY
 from .leases import Answer, Asked, Command
 from .wire import Answered, AnyFrame, Forward
 
+if TYPE_CHECKING:
+    from .engine import Engine
+
 MOST_WAITING = 1024     # calls of `propose` that wait for one of the places in the log
 MOST_FORWARDED = 4096   # requests of others whose askers are known
 
@@ -26,10 +30,10 @@
 class Proposals:
     """Owner of the requests that are open. The same request is asked again until its answer, and carried out once."""
 
-    def __init__(self, who: str, core: Callable[[], Log], send: Callable[[str, AnyFrame], None],
-                 wake: Callable[[], None], clock: Callable[[], float], again: float) -> None:
+    def __init__(self, who: str, engine: Engine, send: Callable[[str, AnyFrame], None], clock: Callable[[], float],
+                 again: float) -> None:
         """`who`: one run of this process; `again`: seconds until a request is asked again that may have got lost."""
-        self._who, self._core, self._send, self._wake, self._clock, self._again = who, core, send, wake, clock, again
+        self._who, self._engine, self._send, self._clock, self._again = who, engine, send, clock, again
         self._numbers = count(1)
         self._open: dict[int, _Open] = {}
         self._places = asyncio.Semaphore(leases.MOST_ANSWERS)
@@ -41,7 +45,10 @@
         return len(self._open) + self._waiting
 
     async def propose(self, command: Command, deadline: float) -> Answer:
-        """The state's answer within `deadline` seconds. Raises NoQuorum, TooBusy, TooLarge, or what has failed."""
+        """The state's answer within `deadline` seconds.
+
+        Raises NoQuorum (in doubt), TooBusy (no place in line here; not asked), TooLarge, or what has failed.
+        """
         until = self._clock() + deadline
         if self.failed is not None:
             raise self.failed
@@ -76,14 +83,13 @@
             self._places.release()
 
     def _ask(self, number: int, one: _Open) -> None:
-        core = self._core()
+        core = self._engine.core
         if core.leading:
             if one.term != core.term:
                 try:
-                    one.term, _ = core.propose(self._clock(), one.data)
+                    one.term = self._engine.propose(one.data)
                 except (NotLeading, TooBusy):
                     return   # it is asked again
-                self._wake()
         elif core.leader is not None:
             self._send(core.leader, Forward(number, one.data))
 
@@ -93,8 +99,8 @@
             self._ask(number, one)
 
     def forwarded(self, sender: str, message: Forward) -> None:
-        """Another process asks this one, which leads or did. One that does not lead is silent: it is asked again."""
-        core, asked = self._core(), leases.read_request(message.data)
+        """Another process asks this one, which leads or did. One that cannot take it is silent: it is asked again."""
+        core, asked = self._engine.core, leases.read_request(message.data)
         if not core.leading or asked is None or asked.number != message.number \
                 or asked.who.rpartition("#")[0] != sender:
             return
@@ -102,23 +108,19 @@
         if self._forwarded.get(key, ("", -1))[1] == core.term:
             return   # it is on its way
         try:
-            term, _ = core.propose(self._clock(), message.data)
-        except NotLeading:
-            return
-        except (TooBusy, TooLarge):
-            self._send(sender, Answered(*key))
+            term = self._engine.propose(message.data)
+        except (NotLeading, TooBusy, TooLarge):
             return
         self._forwarded.pop(key, None)
         self._forwarded[key] = sender, term
         if len(self._forwarded) > MOST_FORWARDED:
             del self._forwarded[next(iter(self._forwarded))]
-        self._wake()
 
     def answered(self, message: Answered) -> None:
         if message.who != self._who:
             return   # an earlier run's, whose numbers were the same
         try:
-            self._give(message.number, leases.read_answer(message.data) if message.data else TooBusy())
+            self._give(message.number, leases.read_answer(message.data))
         except ValueError:
             pass   # of another version; the entry itself will come
 
--- a/linkdock/cluster/storage.py
+++ b/linkdock/cluster/storage.py
@@ -54,7 +54,8 @@
         self._lock = self._file = -1
         self._size = 0                                     # of the file that is written
         self._old: deque[tuple[int, int, int]] = deque()   # number, bytes, last index of those before it
-        self._number = self._image_bytes = self._grown = 0   # bytes written since the last image
+        self._number = self._image_bytes = self._imaged = 0
+        self._grown = 0                                    # bytes written since the last image
         self._vote = Vote()
         self._first, self._terms = 1, []                   # index of the first entry kept, the terms from it on
         try:
@@ -136,7 +137,7 @@
                 raise Torn("the log's files are missing beside an image")
             self._next_file(1)
         if image is not None:
-            self._image_bytes = len(pack(ImageRecord(image)))
+            self._image_bytes, self._imaged = len(pack(ImageRecord(image))), image.index
         entries, void = self._after(image, entries, begin)
         if void:   # Danger: the next entry would seem to come after them
             self._append(pack(Begin(image.index)))
@@ -182,10 +183,18 @@
         """Bytes of the log's files and the image."""
         return self._size + sum(size for _, size, _ in self._old) + self._image_bytes
 
+    def wants_image(self, applied: int) -> bool:
+        """Half of the room is used, and an image as of `applied` would give some of it back.
+
+        Danger: with no room left nothing is proposed, so nothing grows: then every entry applied since counts.
+        """
+        return self.used > self._most // 2 and (self._grown > self._most // PARTS
+                                                or self.room < self._most // PARTS and applied > self._imaged)
+
     @property
-    def wants_image(self) -> bool:
-        """Half of the room is used, and `compact` may give some of it back."""
-        return self.used > self._most // 2 and self._grown > self._most // PARTS
+    def room(self) -> int:
+        """Bytes of entries that may be proposed. Danger: the last quarter is for an image, without which it is full."""
+        return self._most // 4 * 3 - self.used
 
     def write(self, vote: Vote | None, entries: tuple[Entry, ...], image: Image | None) -> None:
         """What a `Ready` has to keep: on disk once this returns. Raises StorageFailed, for good."""
@@ -245,7 +254,7 @@
         if self.used + len(data) > self._most:
             raise StorageFailed(f"{self._folder}: disk_mb is used up")
         self._put("image", data)
-        self._image_bytes, self._grown = len(data), 0
+        self._image_bytes, self._imaged, self._grown = len(data), image.index, 0
 
     def _give_back(self, index: int) -> None:
         """Remove the oldest files as long as they hold nothing after `index`. The vote stands in each file's head."""
--- a/linkdock/cluster/wire.py
+++ b/linkdock/cluster/wire.py
@@ -40,11 +40,11 @@
 
 
 class Answered(msgspec.Struct, frozen=True, array_like=True, tag_field="kind", tag="ans"):
-    """To one run of a process. `data` is the state's answer; empty if the leader has too much to do to take it."""
+    """To one run of a process: the state's answer to its request."""
 
     who: str
     number: int
-    data: bytes = b""
+    data: bytes
 
 
 class AskFresh(msgspec.Struct, frozen=True, array_like=True, tag_field="kind", tag="fresh?"):
