--- a/linkdock/cluster/leases.py
+++ b/linkdock/cluster/leases.py
@@ -17,7 +17,7 @@
 MOST_VALUE = 16 << 10      # bytes of one value of the register
 MOST_REGISTER = 2 << 20    # bytes of all its keys and values
 MOST_ASKING = 512          # proposers whose answers are kept; those silent the longest go first
-MOST_ANSWERS = 32          # kept of each: it may have no more open at once
+MOST_ANSWERS = 32          # kept of each: it may ask no number so far beyond one that is open
 LEAST_TTL, MOST_TTL = 0.1, 3600.0   # seconds
 AGAIN = 1.0                # seconds until an Expire is proposed once more that nothing has come of
 OLD = "this request is older than the answers that are kept; it was not carried out now"
@@ -201,9 +201,8 @@
             return Refused(OLD)
         given = answers.kept[asked.number] = self._carry_out(index, asked.command)
         if len(answers.kept) > MOST_ANSWERS:
-            oldest = next(iter(answers.kept))
-            del answers.kept[oldest]
-            answers.floor = max(answers.floor, oldest)
+            answers.floor = max(answers.floor, min(answers.kept))
+            del answers.kept[min(answers.kept)]
         return given
 
     def _carry_out(self, index: int, command: Command) -> Answer:
--- a/linkdock/cluster/proposals.py
+++ b/linkdock/cluster/proposals.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
-from itertools import count
 from typing import TYPE_CHECKING
 
 from . import leases
@@ -16,15 +16,16 @@
 if TYPE_CHECKING:
     from .engine import Engine
 
-MOST_WAITING = 1024     # calls of `propose` that wait for one of the places in the log
+MOST_WAITING = 1024     # calls of `propose` that wait for a number
 MOST_FORWARDED = 4096   # requests of others whose askers are known
 
 
 class _Open:
     """One request: proposed in `term` by this process, or sent to a leader; answered by the state, whoever leads."""
 
-    def __init__(self, data: bytes, answer: asyncio.Future) -> None:
-        self.data, self.answer, self.term = data, answer, -1
+    def __init__(self, answer: asyncio.Future) -> None:
+        self.data, self.answer, self.term = b"", answer, -1
+        answer.add_done_callback(lambda told: told.cancelled() or told.exception())   # nobody may wait any more
 
 
 class Proposals:
@@ -34,15 +35,42 @@
                  again: float) -> None:
         """`who`: one run of this process; `again`: seconds until a request is asked again that may have got lost."""
         self._who, self._engine, self._send, self._clock, self._again = who, engine, send, clock, again
-        self._numbers = count(1)
+        self._last = 0
         self._open: dict[int, _Open] = {}
-        self._places = asyncio.Semaphore(leases.MOST_ANSWERS)
-        self._waiting = 0
+        self._line: deque[asyncio.Future] = deque()   # calls that wait for a number
         self._forwarded: dict[tuple[str, int], tuple[str, int]] = {}   # by request: who sent it, in which term
         self.failed: ClusterError | None = None
 
     def __len__(self) -> int:
-        return len(self._open) + self._waiting
+        return len(self._open) + len(self._line)
+
+    def _free(self) -> bool:
+        """Danger: a number so far beyond an open one that its answer would push out what is kept for that one."""
+        return not self._open or self._last + 1 - min(self._open) < leases.MOST_ANSWERS
+
+    def _next(self) -> int:
+        self._last += 1
+        self._open[self._last] = _Open(asyncio.get_running_loop().create_future())
+        return self._last
+
+    async def _number(self, deadline: float) -> int:
+        if not self._line and self._free():
+            return self._next()
+        if len(self._line) >= MOST_WAITING:
+            raise TooBusy
+        turn = asyncio.get_running_loop().create_future()
+        self._line.append(turn)
+        try:
+            return await asyncio.wait_for(turn, deadline)
+        except TimeoutError:
+            raise TooBusy from None
+
+    def _over(self, number: int) -> None:
+        del self._open[number]
+        while self._line and self._free():
+            turn = self._line.popleft()
+            if not turn.done():
+                turn.set_result(self._next())
 
     async def propose(self, command: Command, deadline: float) -> Answer:
         """The state's answer within `deadline` seconds.
@@ -52,24 +80,15 @@
         until = self._clock() + deadline
         if self.failed is not None:
             raise self.failed
-        if self._waiting >= MOST_WAITING:
-            raise TooBusy
-        self._waiting += 1
-        try:
-            await asyncio.wait_for(self._places.acquire(), deadline)
-        except TimeoutError:
-            raise TooBusy from None
-        finally:
-            self._waiting -= 1
-        number = next(self._numbers)
-        data = leases.request(self._who, number, command)
+        number = await self._number(deadline)
+        one = self._open[number]
         try:
+            data = leases.request(self._who, number, command)
             if len(data) > MOST_ENTRY:
                 raise TooLarge(f"{len(data)} bytes")
             if self.failed is not None:
                 raise self.failed
-            one = self._open[number] = _Open(data, asyncio.get_running_loop().create_future())
-            one.answer.add_done_callback(lambda answer: answer.cancelled() or answer.exception())   # it may be too late
+            one.data = data
             while True:
                 self._ask(number, one)
                 left = until - self._clock()
@@ -79,11 +98,12 @@
                 if self._clock() >= until:
                     raise NoQuorum(f"within {deadline:g} s")
         finally:
-            self._open.pop(number, None)
-            self._places.release()
+            self._over(number)
 
     def _ask(self, number: int, one: _Open) -> None:
         core = self._engine.core
+        if not one.data:
+            return   # it has just been let in
         if core.leading:
             if one.term != core.term:
                 try:
--- a/tests/test_cluster_node.py
+++ b/tests/test_cluster_node.py
@@ -263,12 +263,12 @@
 async def test_the_log_is_cut_by_images_and_one_who_comes_late_is_sent_one(fleet):
     nodes = await fleet.founded()
     for node in nodes:
-        node.engine.storage._most = 400_000
+        node.engine.storage._most, node.engine.storage._part = 1_500_000, 90_000
     for n in range(120):
         assert isinstance(await nodes[n % 3].propose(Put(f"k{n % 7}", bytes([n]) * 9000), LIMIT), Done)
-        assert max(node.engine.storage.used for node in nodes) <= 400_000
+        assert max(node.engine.storage.used for node in nodes) <= 1_500_000
     assert all(node.engine.core.image.index > 20 for node in nodes)
-    flood = [node.propose(Put(f"f{n % 5}", bytes([n]) * 16000), LIMIT) for n in range(40) for node in nodes]
+    flood = [node.propose(Put(f"f{n % 5}", bytes([n]) * 16000), LIMIT) for n in range(60) for node in nodes]
     assert all(isinstance(answer, Done) for answer in await asyncio.gather(*flood))   # some had to wait
     assert not any(node.failed for node in nodes)
     late, = fleet.start(3)
