--- a/tests/test_cluster_storage.py
+++ b/tests/test_cluster_storage.py
@@ -303,3 +303,16 @@
             storage.write(None, entries(index + 1, index + 3, 1, 500), None)
             index += 3
     assert storage.used <= 200_000 and index > 1300
+
+
+def test_an_image_is_wanted_again_where_the_last_one_could_give_nothing_back():
+    disk, index = Disk(), 0
+    storage = opened(disk, 200_000)
+    storage._part = 10**9   # one file: what is not applied yet keeps all of it
+    while storage.room > 20_000:
+        index += 1
+        storage.write(None, entries(index, index, 1, 5000), None)
+    storage.compact(image(index - 1, 1))
+    assert storage.room <= 25_000 and not storage.wants_image(index - 1) and storage.wants_image(index)
+    storage.compact(image(index, 1))
+    assert storage.room > 100_000 and not storage.wants_image(index)
