--- a/linkdock/lab/virtual_log.py
+++ b/linkdock/lab/virtual_log.py
@@ -18,6 +18,9 @@
 
 FAULTY, WITHIN = 5.0, 2.0   # seconds of faults; then a leader is there and a proposal answered within
 
+KINDS = ("crash", "crash", "crash_leader", "crash_leader", "pause", "pause_leader", "cut_one", "cut_one", "cut_leader",
+         "halves", "reset", "lossy", "lossy", "hand_over", "hand_over_cut", "lose_folder", "more", "less", "power")
+
 
 @dataclass
 class Played:
@@ -34,11 +37,9 @@
 class Faults:
     """What goes wrong, at random times."""
 
-    def __init__(self, world: World, until: float) -> None:
+    def __init__(self, world: World, until: float, kinds: tuple[str, ...] = KINDS) -> None:
         self.world, self.random, self.until = world, world.random, until
-        self.kinds = [self.crash, self.crash, self.crash_leader, self.crash_leader, self.pause, self.pause_leader,
-                      self.cut_one, self.cut_one, self.cut_leader, self.halves, self.reset, self.lossy, self.lossy,
-                      self.hand_over, self.hand_over, self.lose_folder, self.more, self.less, self.power]
+        self.kinds = [getattr(self, kind) for kind in kinds]
         self.restarts = self.changes = 0
         self.next()
 
@@ -113,6 +114,11 @@
         world.loss, world.double, world.far = (self.random.choice((0, 0.05, 0.3)) for _ in range(3))
         world.after(self.random.uniform(0.2, 1.5), self.clear)
 
+    def far(self) -> None:
+        """Half of all messages come late, by 0.1 s and more."""
+        self.world.far = 0.5
+        self.world.after(1.0, self.clear)
+
     def clear(self) -> None:
         self.world.loss = self.world.double = self.world.far = 0.0
 
@@ -122,6 +128,13 @@
             node.core.hand_over(node.clock())
             node.turn()
 
+    def hand_over_cut(self) -> None:
+        """The leader's last word gets through, and it hears of nothing that follows."""
+        node = self._leader()
+        self.hand_over()
+        others = [n for n in self.world.nodes if n != node.id]
+        self.world.after(0.003, self._cut, {(o, node.id) for o in others}, 0.6)
+
     # --- Changes of members: one at a time, the next once the last is made.
 
     def lose_folder(self) -> None:
@@ -153,16 +166,16 @@
         self.world.cut.clear()
         for node in list(self.world.nodes.values()):
             self.world.restart(node)
-            if node.paused:
+            if node.up and node.paused:
                 node.resume = self.world.now
                 node.wake()
 
 
-def play(seed: int, nodes: int = 5, settings: LogSettings = SMALL, node_class: type[Node] = Node,
+def play(seed: int, nodes: int = 5, settings: LogSettings = SMALL, kinds: tuple[str, ...] = KINDS,
          faulty: float = FAULTY) -> Played:
     """One schedule. Raises Broken, or whatever a log raises that must not."""
-    world = World(seed, nodes, settings, node_class=node_class)
-    faults = Faults(world, faulty)
+    world = World(seed, nodes, settings)
+    faults = Faults(world, faulty, kinds)
     world.run(faulty)
     faults.heal()
     end = faulty
--- a/linkdock/lab/virtual_log_checks.py
+++ b/linkdock/lab/virtual_log_checks.py
@@ -96,6 +96,16 @@
         if isinstance(message, Appended) and message.ok and message.term == vote.term and (
                 message.index > node.disk.last()):
             raise Broken("disk-first", f"{node.id} has {message.index}, it says, and not on disk")
+        if isinstance(message, Appended) and message.ok:
+            self._true(node, self.nodes[to], message)
+
+    def _true(self, node, leader, message: Appended) -> None:
+        if not leader.up or not leader.core.leading or leader.core.term != message.term or (
+                node.disk.vote.term != message.term):
+            return
+        mine, theirs = node.disk.entries.get(message.index), leader.core.log.term(message.index)
+        if message.index > leader.core.log.last or (mine and theirs is not None and mine.term != theirs):
+            raise Broken("true-answers", f"{node.id} answers {message.index}, which is not {leader.id}'s")
 
     def wrote(self, node, ready: Ready) -> None:
         vote = ready.vote
@@ -110,6 +120,18 @@
             if self.written.setdefault((entry.index, entry.term), (before, entry)) != (before, entry):
                 raise Broken("log-matching", f"{node.id} holds another entry {entry.index} of term {entry.term}")
             before = entry.term
+            if entry.kind == Kind.CONFIG and node.core.leading and entry.term == node.core.term:
+                self._one_change(node, entry)
+        if disk.has_cut and node.core.log.last == disk.last():
+            configs = [at for at, e in disk.entries.items() if e.kind == Kind.CONFIG]
+            if node.core.log.config_index != max(configs, default=disk.image.index if disk.image else 0):
+                raise Broken("config-of-log", f"{node.id} goes by a Config that is not in its log")
+
+    def _one_change(self, node, entry: Entry) -> None:
+        done, before = len(self.chosen), [e for e in node.disk.entries.values() if e.index < entry.index]
+        if any(e.kind == Kind.CONFIG and e.index > done for e in before) or (
+                not done or self.chosen[-1].term < entry.term):
+            raise Broken("one-change", f"{node.id} changes at {entry.index} while a change may be open")
 
     # --- What is committed.
 
@@ -162,10 +184,10 @@
             raise Broken("reads", f"{node.id} read as of {node.applied}, {self.floor} was answered before")
         self.floor = node.applied
 
-    def history(self, writes: list[tuple[str, int, str, float, float | None]], reads: list[tuple[float, str]]) -> None:
+    def history(self, writes: list[tuple[str, int, str, int, int | None]], reads: list[tuple[int, str]]) -> None:
         """Linearizable, by values alone: the order in which writes took effect explains all answers.
 
-        `writes` are (client, number, value, begun, answered or None), `reads` (time, value).
+        `writes` are (client, number, value, begun, answered or None), `reads` (moment, value).
         """
         place = {effect[2]: at + 1 for at, effect in enumerate(self.effective)}
         place[""] = 0
--- a/linkdock/lab/virtual_log_node.py
+++ b/linkdock/lab/virtual_log_node.py
@@ -19,6 +19,8 @@
         self.vote, self.image = stored.vote, stored.image
         self.entries: dict[int, Entry] = {e.index: e for e in stored.entries}
 
+        self.has_cut = False    # by the last writes
+
     @staticmethod
     def writes(ready: Ready) -> list[tuple[str, object]]:
         out: list[tuple[str, object]] = [("image", ready.image)] if ready.image else []
@@ -30,11 +32,14 @@
         return out
 
     def do(self, writes: list[tuple[str, object]]) -> None:
+        self.has_cut = False
         for what, value in writes:
             if what == "image":
                 self.image = value
             elif what == "cut":
-                self.entries = {at: e for at, e in self.entries.items() if at < value}
+                if self.last() >= value:
+                    self.has_cut = True
+                    self.entries = {at: e for at, e in self.entries.items() if at < value}
             elif what == "entry":
                 self.entries[value.index] = value
             else:
@@ -59,7 +64,7 @@
         return mine is not None and mine.term == entry.term
 
     def last(self) -> int:
-        return max(self.entries) if self.entries else self.image.index if self.image else 0
+        return next(reversed(self.entries)) if self.entries else self.image.index if self.image else 0
 
     def stored(self) -> Stored:
         return Stored(self.vote, self.image, tuple(self.entries[at] for at in sorted(self.entries)))
--- a/linkdock/lab/virtual_log_world.py
+++ b/linkdock/lab/virtual_log_world.py
@@ -13,7 +13,7 @@
 from .virtual_log_node import Node
 
 SMALL = LogSettings(most_open=64, most_append=400, most_flights=4, piece=120, most_pieces=3, most_applied=16)
-GIVE_UP = 0.6   # seconds a client waits for an answer before it asks elsewhere
+GIVE_UP = (0.05, 0.6)   # seconds a client waits for an answer before it asks elsewhere, one or the other
 
 
 class Client:
@@ -27,8 +27,8 @@
 
     def next(self) -> None:
         self.number += 1
-        self.begun = self.world.now
-        self.world.writes[self.name, self.number] = (self.name, self.number, self.value, self.begun, None)
+        self.begun, moment = self.world.now, self.world.moment()
+        self.world.writes[self.name, self.number] = (self.name, self.number, self.value, moment, None)
         self.ask()
 
     @property
@@ -45,7 +45,7 @@
             try:
                 data = f"{self.name}:{self.number}:{self.value}".encode()
                 term, index = node.core.propose(node.clock(), data + b" " * world.random.choice((0, 0, 60)))
-                self.waits, self.hint, wait = (node.id, node.cycle, term, index), node.id, GIVE_UP
+                self.waits, self.hint, wait = (node.id, node.cycle, term, index), node.id, world.random.choice(GIVE_UP)
                 world.waiting[node.id, index] = self
                 node.turn()
             except NotLeading as error:
@@ -65,7 +65,7 @@
             return
         world = self.world
         world.checks.answered(entry.index)
-        world.writes[self.name, self.number] = (self.name, self.number, self.value, self.begun, world.now)
+        world.writes[self.name, self.number] = (*world.writes[self.name, self.number][:4], world.moment())
         world.last_answer = self.begun
         self.waits, self.asked = None, self.asked + 1
         world.after(world.random.expovariate(1 / world.pace), self.next)
@@ -75,9 +75,9 @@
     """Time is in true seconds; each process has its own clock. `run(until)` raises Broken."""
 
     def __init__(self, seed: int, count: int, settings: LogSettings = SMALL, clients: int = 3,
-                 node_class: type[Node] = Node, pace: float = 0.03) -> None:
-        self.random, self.settings, self.node_class, self.pace = Random(seed), settings, node_class, pace
-        self.now, self.events, self._number = 0.0, [], 0
+                 pace: float = 0.03) -> None:
+        self.random, self.settings, self.pace = Random(seed), settings, pace
+        self.now, self.events, self._number, self._moment = 0.0, [], 0, 0
         self.checks = Checks(settings.election)
         self.nodes: dict[str, Node] = {}
         self.cut: set[tuple[str, str]] = set()
@@ -86,10 +86,11 @@
         self.slow_disk, self.image_every = 0.1, self.random.choice((8, 20, 60, 100000))
         self.waiting: dict[tuple[str, int], Client] = {}
         self.writes: dict[tuple[str, int], tuple] = {}
-        self.reads: list[tuple[float, str]] = []
+        self.reads: list[tuple[int, str]] = []
         self.last_answer = -1.0      # when the write was begun that was answered last
         self.task: dict | None = None
         names = tuple(f"n{k}~0" for k in range(count))
+        self.first = founded(names).image
         for name in names:
             self.add(name, founded(names))
         self.clients = [Client(self, f"c{k}") for k in range(clients)]
@@ -124,10 +125,15 @@
         else:
             self.due(node)
 
+    def moment(self) -> int:
+        """Counts up: the order of what happens at one time."""
+        self._moment += 1
+        return self._moment
+
     # --- Processes and the network between them.
 
     def add(self, id: str, stored: Stored) -> Node:
-        self.nodes[id] = node = self.node_class(self, id, stored, Random(self.random.getrandbits(64)))
+        self.nodes[id] = node = Node(self, id, stored, Random(self.random.getrandbits(64)))
         return node
 
     def send(self, sender: str, to: str, message: object) -> None:
@@ -150,8 +156,9 @@
             node.start()
 
     def pause(self, node: Node, seconds: float) -> None:
-        node.resume = self.now + seconds
-        self.after(seconds, self._wake, node, node.cycle)
+        if node.up:
+            node.resume = self.now + seconds
+            self.after(seconds, self._wake, node, node.cycle)
 
     def _wake(self, node: Node, cycle: int) -> None:
         if cycle == node.cycle and not node.paused:
@@ -175,7 +182,7 @@
         value = node.read()
         if value is not None:
             self.checks.read(node)
-            self.reads.append((self.now, value))
+            self.reads.append((self.moment(), value))
 
     # --- The operator: one change after the other until it is made.
 
