--- a/linkdock/cluster/log/core.py
+++ b/linkdock/cluster/log/core.py
@@ -56,6 +56,7 @@
         self._lead: Leading | None = None
         self._incoming = Incoming()
         self._votes: set[str] = set()
+        self._handed_over = False
         # Danger: it may have promised a leader its lease before it was started again; it does not know, so it waits.
         self._refuse_until = now + settings.election
         self._ask_again = 0.0
@@ -107,9 +108,10 @@
             self._lead.beat(now)
             return
         self._rest(now)
+        self.leader = None
         if self.me not in self.config.voters:
             return
-        self.role, self.leader, self._votes = Role.ASKING, None, {self.me}
+        self.role, self._votes, self._handed_over = Role.ASKING, {self.me}, False
         self._ask(now)
         self._count(now)
 
@@ -129,10 +131,11 @@
         self._rest(now)
         self.role, self.leader = Role.CANDIDATE, None
         self.term, self.voted, self._votes = self.term + 1, self.me, {self.me}
-        self._ask(now, handed_over)
+        self._handed_over = handed_over
+        self._ask(now)
         self._count(now)
 
-    def _ask(self, now: float, handed_over: bool = False) -> None:
+    def _ask(self, now: float) -> None:
         """Ask those who have not said yes. Messages get lost: it is done again within the same election."""
         self._ask_again = now + self.settings.heartbeat * (1 + self._random.random())
         last, last_term = self.log.last, self.log.last_term
@@ -142,7 +145,7 @@
             if self.role == Role.ASKING:
                 self._send(peer, i.PreVote(self.term + 1, last, last_term))
             else:
-                self._send(peer, i.AskVote(self.term, last, last_term, handed_over))
+                self._send(peer, i.AskVote(self.term, last, last_term, self._handed_over))
 
     def _count(self, now: float) -> None:
         voters = self.config.voters
