--- a/linkdock/cluster/log/core.py
+++ b/linkdock/cluster/log/core.py
@@ -155,6 +155,7 @@
             self._stand(now)
             return
         self.role, self.leader = Role.LEADER, self.me
+        self._incoming.clear()
         self._lead = Leading(self.me, now, self.term, self.log, self.settings)
         self._append(i.Kind.EMPTY, b"")
 
@@ -369,6 +370,8 @@
         self._messages.append((to, message))
 
     def ready(self) -> i.Ready | None:
+        """Danger: an `image` in it takes the place of the whole log. Entries on disk that conflict with it must not come
+        back after it: a folder keeps them only if it holds the image's own entry, by index and term."""
         self._stable = self._offered
         if self._lead:
             self._lead_on()
--- a/linkdock/lab/virtual_log_checks.py
+++ b/linkdock/lab/virtual_log_checks.py
@@ -81,7 +81,7 @@
     def ticked(self, node) -> None:
         if not node.core.leading:
             return
-        voters, heard, now = node.core.config.voters, self.heard[node.id], node.world.now
+        voters, heard, now = node.core.config.voters, self.heard.get(node.id, {}), node.world.now
         times = sorted((now if v == node.id else heard.get(v, node.led_since) for v in voters), reverse=True)
         silent = now - times[len(voters) // 2]
         if silent > 2 * self.election:
--- a/linkdock/lab/virtual_log_world.py
+++ b/linkdock/lab/virtual_log_world.py
@@ -38,6 +38,7 @@
     def ask(self) -> None:
         world = self.world
         self.waits, self.asked = None, self.asked + 1
+        asked = self.asked
         node = world.nodes.get(self.hint) or world.random.choice(list(world.nodes.values()))
         self.hint = None
         wait = 0.02
@@ -52,7 +53,7 @@
                 self.hint = error.leader
             except ClusterError:
                 wait = 0.1
-        world.after(wait, self.late, self.asked)
+        world.after(wait, self.late, asked)
 
     def late(self, asked: int) -> None:
         if asked == self.asked:
