--- a/linkdock/lab/virtual_log.py
+++ b/linkdock/lab/virtual_log.py
@@ -18,6 +18,9 @@
 
 FAULTY, WITHIN = 5.0, 2.0   # seconds of faults; then a leader is there and a proposal answered within
 
+KINDS = ("crash", "crash", "crash_leader", "crash_leader", "pause", "pause_leader", "cut_one", "cut_one", "cut_leader",
+         "halves", "reset", "lossy", "lossy", "hand_over", "hand_over_cut", "lose_folder", "more", "less", "power")
+
 
 @dataclass
 class Played:
@@ -34,16 +37,14 @@
 class Faults:
     """What goes wrong, at random times."""
 
-    def __init__(self, world: World, until: float) -> None:
+    def __init__(self, world: World, until: float, kinds: tuple[str, ...] = KINDS) -> None:
         self.world, self.random, self.until = world, world.random, until
-        self.kinds = [self.crash, self.crash, self.crash_leader, self.crash_leader, self.pause, self.pause_leader,
-                      self.cut_one, self.cut_one, self.cut_leader, self.halves, self.reset, self.lossy, self.lossy,
-                      self.hand_over, self.hand_over, self.lose_folder, self.more, self.less, self.power]
-        self.restarts = self.changes = 0
+        self.kinds = [getattr(self, kind) for kind in kinds]
+        self.restarts, self.changes, self.rest = 0, 0, 0.0
         self.next()
 
     def next(self) -> None:
-        wait = self.random.expovariate(1 / 0.25)
+        wait, self.rest = self.rest + self.random.expovariate(1 / 0.25), 0.0
         if self.world.now + wait < self.until:
             self.world.after(wait, self.strike)
 
@@ -97,6 +98,24 @@
     def cut_leader(self) -> None:
         self._round(self._leader())
 
+    def partial(self, crash: bool = False) -> None:
+        """One follower loses the leader and keeps the others; when it has had time to stand, the leader loses all."""
+        leader, at = self._leader(), self.world.settings.election
+        self.rest = 4 * at    # or others' faults would end it
+        others = [n for n in self.world.nodes if n != leader.id]
+        one = self.random.choice(others)
+        self._cut({(leader.id, one), (one, leader.id)}, 3 * at)
+        self.world.after(self.random.uniform(0.9, 1.2) * at, self._then, leader, others, one if crash else None)
+
+    def _then(self, leader: Node, others: list[str], but: str | None) -> None:
+        self._cut({(leader.id, o) for o in others} | {(o, leader.id) for o in others}, 1.0)
+        for other in others if but else ():
+            if other != but:
+                self._crash(self.world.nodes[other], 0.003)
+
+    def partial_crash(self) -> None:
+        self.partial(crash=True)
+
     def halves(self) -> None:
         side = {n for n in self.world.nodes if self.random.random() < 0.5}
         links = {(a, b) for a in self.world.nodes for b in self.world.nodes if (a in side) != (b in side)}
@@ -113,6 +132,11 @@
         world.loss, world.double, world.far = (self.random.choice((0, 0.05, 0.3)) for _ in range(3))
         world.after(self.random.uniform(0.2, 1.5), self.clear)
 
+    def far(self) -> None:
+        """Half of all messages come late, by 0.1 s and more."""
+        self.world.far = 0.5
+        self.world.after(1.0, self.clear)
+
     def clear(self) -> None:
         self.world.loss = self.world.double = self.world.far = 0.0
 
@@ -122,6 +146,13 @@
             node.core.hand_over(node.clock())
             node.turn()
 
+    def hand_over_cut(self) -> None:
+        """The leader's last word gets through, and it hears of nothing that follows."""
+        node = self._leader()
+        self.hand_over()
+        others = [n for n in self.world.nodes if n != node.id]
+        self.world.after(0.003, self._cut, {(o, node.id) for o in others}, 0.6)
+
     # --- Changes of members: one at a time, the next once the last is made.
 
     def lose_folder(self) -> None:
@@ -148,23 +179,30 @@
             self.changes += 1
             self.world.task = {"remove": self.random.choice(leaders[0].core.config.voters)}
 
+    def remove_leader(self) -> None:
+        leaders = self.world.leaders()
+        if not self.world.task and leaders and len(leaders[0].core.config.voters) > 3:
+            self.changes += 1
+            self.world.task = {"remove": leaders[0].id}
+
     def heal(self) -> None:
         self.clear()
         self.world.cut.clear()
         for node in list(self.world.nodes.values()):
             self.world.restart(node)
-            if node.paused:
+            if node.up and node.paused:
                 node.resume = self.world.now
                 node.wake()
 
 
-def play(seed: int, nodes: int = 5, settings: LogSettings = SMALL, node_class: type[Node] = Node,
-         faulty: float = FAULTY) -> Played:
-    """One schedule. Raises Broken, or whatever a log raises that must not."""
-    world = World(seed, nodes, settings, node_class=node_class)
-    faults = Faults(world, faulty)
+def play(seed: int, nodes: int = 5, settings: LogSettings = SMALL, kinds: tuple[str, ...] = KINDS,
+         pace: float = 0.03, faulty: float = FAULTY) -> Played:
+    """One schedule; `pace` is the mean rest of a client (s). Raises Broken, or whatever a log raises that must not."""
+    world = World(seed, nodes, settings, pace=pace)
+    faults = Faults(world, faulty, kinds)
     world.run(faulty)
     faults.heal()
+    world.pace = min(pace, 0.03)
     end = faulty
     while world.last_answer < faulty:
         if end >= faulty + WITHIN:
