--- a/linkdock/cluster/members/table.py
+++ b/linkdock/cluster/members/table.py
@@ -6,7 +6,6 @@
 
 from ..interface import Peer, Rumour, Standing, name_of
 from .health import Suspicion
-from .rumours import size
 from .settings import MembersSettings
 
 ALIVE, SUSPECT, FAILED, LEFT = Standing
@@ -14,7 +13,8 @@
 
 @dataclass(slots=True)
 class Record:
-    """One life. `own`: this process's own probe of it failed; `silent`: never seen alive here, nobody is told."""
+    """One life. `own`: this process's own probe of it failed; `silent`: never seen alive here, nobody is told;
+    `behind`: it has spoken, but must rise over a later life of its name first."""
 
     peer: Peer
     standing: Standing
@@ -22,11 +22,8 @@
     since: float
     own: bool = False
     silent: bool = False
+    behind: bool = False
     suspicion: Suspicion | None = None
-    bytes: int = 0
-
-    def __post_init__(self) -> None:
-        self.bytes = size(self.rumour()) + 8   # an incarnation may grow
 
     @property
     def live(self) -> bool:
@@ -42,12 +39,9 @@
         return self.rumour()
 
     def stand(self, now: float, peer: Peer, standing: Standing, incarnation: int) -> None:
-        if peer is not self.peer:
-            self.peer = peer
-            self.bytes = size(self.rumour()) + 8
-        self.standing, self.incarnation, self.since = standing, incarnation, now
+        self.peer, self.standing, self.incarnation, self.since = peer, standing, incarnation, now
         self.own, self.suspicion = False, None
-        self.silent = self.silent and standing >= FAILED
+        self.silent, self.behind = self.silent and standing >= FAILED, self.behind and standing >= FAILED
 
 
 class Change:
@@ -71,6 +65,9 @@
     def get(self, peer_id: str) -> Record | None:
         return self.records.get(peer_id)
 
+    def ids(self, *standings: Standing) -> list[str]:
+        return [one.peer.id for one in self.records.values() if one.standing in standings]
+
     def others(self, peer_id: str) -> list[Record]:
         """Other lives of the same name."""
         return [self.records[one] for one in self._lives.get(name_of(peer_id), ()) if one != peer_id]
@@ -83,6 +80,8 @@
         if not self.wins(rumour, record):
             return []
         if rumour.standing < FAILED and not record.live and self._outdone(rumour, record):
+            # Danger: an old life that still runs must not be forgotten, or it would be new to those who forgot it.
+            record.since = now if direct else record.since
             return []
         return self.set(now, record, rumour.standing, rumour.incarnation, rumour.peer)
 
@@ -92,7 +91,7 @@
 
     def _outdone(self, rumour: Rumour, record: Record) -> bool:
         """Danger: one whose place a later life has taken never comes back, whatever incarnation it says."""
-        if record.silent:
+        if record.behind:
             return self._behind(rumour)
         return any(one.live for one in self.others(rumour.peer.id))
 
@@ -136,7 +135,7 @@
         if len(self.records) >= self._settings.most_members and not self._make_room():
             return []
         standing = FAILED if behind and not dead else rumour.standing
-        record = Record(rumour.peer, standing, rumour.incarnation, now, silent=silent)
+        record = Record(rumour.peer, standing, rumour.incarnation, now, silent=silent, behind=silent and not dead)
         self.records[peer_id] = record
         self._lives.setdefault(name_of(peer_id), []).append(peer_id)
         if silent:
--- a/linkdock/lab/virtual_members.py
+++ b/linkdock/lab/virtual_members.py
@@ -9,7 +9,7 @@
 import json
 import sys
 import time
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
@@ -56,6 +56,7 @@
     slow: float = 0.0        # seconds that each datagram waits before it is looked at, at the most
     due: float = inf
     inbox: list[Packet] = field(default_factory=list)
+    dead: dict[str, int] = field(default_factory=dict)   # who has failed or left at what incarnation, as it was told
 
     @property
     def id(self) -> str:
@@ -73,6 +74,7 @@
     by: str
     heard: Heard
     was_up: bool    # that life was running then
+    knew: bool      # this run of the process had heard before that it failed or left at this incarnation or a higher
 
 
 class World:
@@ -86,9 +88,12 @@
         self._order = count()
         self.all = [Process(n, f"p{n}", ZONES[n % len(ZONES)], f"10.0.{n >> 8}.{n & 255}:7000") for n in range(size)]
         self.by_address = {one.address: one for one in self.all}
+        self.named = {one.name: [one] for one in self.all}
         self.seeds = [one.address for one in self.all[:3]]
         self.events: list[Event] = []
         self.broken: Counter[str] = Counter()
+        self.taped: Process | None = None   # whose last packets are kept, to be sent again by a story
+        self.tape: deque[Packet] = deque(maxlen=200)
         self.packets = self.bytes = self.calls = 0
         self.cpu = 0.0
 
@@ -107,7 +112,7 @@
 
     def start(self, process: Process, incarnation: int = 0) -> None:
         """The same life as before, with an empty memory."""
-        process.up, process.paused, process.inbox = True, False, []
+        process.up, process.paused, process.inbox, process.dead = True, False, [], {}
         seed = self.random.getrandbits(32)
         process.machine = self.make(process.peer(), self.settings, seed, incarnation)
         self._call(process, lambda: process.machine.join(self.now, self.seeds))
@@ -116,6 +121,15 @@
         for process in self.all:
             self.at(self.now + self.random.uniform(0, within), self.start, process)
 
+    def twin(self, process: Process) -> Process:
+        """Another of the same name with a folder of its own, at an address of its own; the first runs on."""
+        other = Process(len(self.all), process.name, process.zone, f"10.1.0.{len(self.all)}:7000", process.life + 1)
+        self.all.append(other)
+        self.named[process.name].append(other)
+        self.by_address[other.address] = other
+        self.start(other)
+        return other
+
     def crash(self, process: Process, folder_lost: bool = False) -> None:
         process.up, process.due = False, inf
         process.life += folder_lost
@@ -153,10 +167,10 @@
         self._call(process, lambda: machine.receive(self.now, packet))
 
     def _call(self, process: Process, what: Callable[[], list[Post | Heard]]) -> None:
-        began = time.perf_counter()
+        began = time.process_time()
         out = what()
         due = process.machine.next_due()
-        self.cpu += time.perf_counter() - began
+        self.cpu += time.process_time() - began
         self.calls += 1
         if due != process.due:
             process.due = due
@@ -169,7 +183,11 @@
                 self._told(process, one)
 
     def _told(self, process: Process, heard: Heard) -> None:
-        self.events.append(Event(self.now, process.id, heard, self.is_up(heard.peer.id)))
+        peer_id = heard.peer.id
+        knew = process.dead.get(peer_id, -1) >= heard.incarnation
+        self.events.append(Event(self.now, process.id, heard, self.is_up(peer_id), knew))
+        if heard.standing >= Standing.FAILED:
+            process.dead[peer_id] = max(heard.incarnation, process.dead.get(peer_id, -1))
         if heard.standing is Standing.ALIVE:
             self.one_life(process, name_of(heard.peer.id))
 
@@ -179,6 +197,8 @@
         size = len(_encode(post.packet))
         if size > MOST_DATAGRAM - 64:
             self.broken["size"] += 1
+        if process is self.taped:
+            self.tape.append(post.packet)
         self.packets += 1
         self.bytes += size
         if post.seed:
@@ -221,8 +241,7 @@
 
     def is_up(self, peer_id: str) -> bool:
         name, _, life = peer_id.rpartition("~")
-        process = self.all[int(name[1:])] if name[1:].isdigit() and int(name[1:]) < len(self.all) else None
-        return process is not None and process.up and str(process.life) == life
+        return any(one.up and str(one.life) == life for one in self.named.get(name, ()))
 
     def one_life(self, process: Process, name: str) -> None:
         lives = [one for one, rumour in process.machine.view().items()
