Start the fleet's node with a sender where cluster.json is on, and leave with it

Need: the node was there, and no process had one. At SIGTERM the node hands over while deliveries end; nothing of the sender waits for it but its end, 2 s at the most. Tests: a sender whose two other founders never come delivers as ever and ends with 0; a wrong file ends the start with one line. 328 tests pass.

--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -7,8 +7,8 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable, Coroutine
-from typing import TYPE_CHECKING, TypeVar
+from collections.abc import Coroutine
+from typing import TYPE_CHECKING
 
 from tornado.netutil import bind_sockets
 
@@ -27,20 +27,15 @@
 from ..state.journal import Journal
 from ..state.table import ServerTable
 from ..state.wheel import Wheel
+from . import switched
 from .config import Config, ConfigError, load, reload
 
 if TYPE_CHECKING:
     from ..admission.budget import Parts
-    from ..admission.clients import Clients
-    from ..connections.kept import KeptPool
-    from ..dormancy.disk import Dormancy
-    from ..records.observer import Observer
-    from ..undeliverable.writer import Undeliverable
     from .operations import Operations
     from .shift import Shift
 
 log = logging.getLogger(__name__)
-T = TypeVar("T")
 
 IDLE_MARGIN = 0.75      # seconds before the other side's idle-close at which a connection is retired
 ACCEPT_FOR = 0.5        # seconds after SIGTERM in which new connections may still come: up to 0.4
@@ -50,6 +45,7 @@
 SIBLING_EVERY = 0.05    # and between looks for the sender's other processes
 FIRST_NEWS = 0.2        # seconds after the start for which decisions wait for the agent's first answer
 MOST_IDLE = 1.0         # seconds without a beat at the most
+LEAVE_FLEET = 2.0       # seconds more, at the most, to hand over what the fleet's processes share
 LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
 
 
@@ -75,7 +71,7 @@
         except OSError as bad:
             raise ConfigError(f"RELAY_STATE: {bad}") from None
         table = self._table = ServerTable((kind.apart for kind in settings.kinds), clock)
-        self._dormancy = self._sleep(config, table, clock)
+        self._dormancy = switched.dormancy(config, table, clock)
         facade = self._facade = Facade(settings, config.seed,
                                        None if self._dormancy is None else self._dormancy.sleeper)
         facade.wake = self._soon
@@ -93,7 +89,7 @@
         books = Books(config, clock, facade, self._journal, table)
         self.sender = Sender(books, self.spawn)
         idle_for = max(settings.idle_close - IDLE_MARGIN, settings.idle_close / 2)
-        kept = self._kept(config, table, idle_for)
+        kept = switched.kept_pool(config, table, self._wheel, self.spawn, clock, idle_for)
         self._pool = ConnectionPool(self._wheel, idle_for, config.most_backends) if kept is None else kept
         self.sender.backend = Backend(self.sender, table, self._pool, self._wheel, clock,
                                       settings.connect_timeout, config.fields)
@@ -103,10 +99,10 @@
         asking = Asking(config.paid_news, settings.relays, settings.ask_within, config.seed, not len(table.roster))
         self._watch = Watch(config.discovery, self._wheel, asking, config.zones, config.kinds,
                             lambda: table.version, self.sender, config.most_list)
-        self._observer = self._records(config)
+        self._observer = switched.observer(config, self._loop)
         for part in (books, self.sender.backend, self._notices):
             part.observer = self._observer
-        self._undeliverable = books.undeliverable = self._store(config)
+        self._undeliverable = books.undeliverable = switched.store(config, self._journal, self._loop)
         if self._operations is not None:
             self._operations.count(books, self.sender)
         if self._shift is not None:
@@ -121,7 +117,7 @@
         self._tidy()
         if self._dormancy is not None:
             self.spawn(self._dormancy.run(self._wheel.pause, lambda: facade.awake()))
-        self._clients = self._admission(config)
+        self._clients = switched.clients(config, self._wheel, self.sender.overloaded)
         gate = None if self._clients is None else self._clients.gate
         try:
             self.frontend = Frontend(self.sender, self._listening(config), self._wheel, self.spawn, config.most_clients,
@@ -137,6 +133,8 @@
                 self._operations.open(self.frontend, self._wheel, self.spawn)
             except OSError as bad:
                 raise ConfigError(f"admin_addr: {bad}") from None
+        self.node = switched.node(config, self._loop)   # of the fleet's processes; nothing here waits for it
+        self._leaving: asyncio.Task | None = None
         self._due = self._loop.time()   # what came before was the start
         # Danger: where lists are pushed, what the agent has counts as told from a process's first moment. What is owed
         # would go to a server that has drained since the known list was written.
@@ -184,61 +182,6 @@
         from .operations import Operations
         return Operations(config, self._loop.time, facade, table)
 
-    def _records(self, config: Config) -> Observer | None:
-        """The observer of the records, where `deploy/records.json` switches them on."""
-        try:
-            text = switched_on("records")
-            if text is None:
-                return None
-            from ..records import open_observer
-            classes = {name: {"repeatable": config.repeatable(n), "deadline": config.settings.classes[n].deadline}
-                       for n, name in enumerate(config.class_names)}
-            return open_observer(text, config.name, config.state, int(config.disk_mb * 1e6), classes,
-                                 self._loop.time, self._loop.call_later)
-        except OSError as bad:
-            raise ConfigError(str(bad)) from None
-
-    @staticmethod
-    def _subsystem(name: str, make: Callable[[bytes], T]) -> T | None:
-        """What `deploy/NAME.json` switches on, made from its text; nothing of it is imported where it is off."""
-        try:
-            text = switched_on(name)
-            return None if text is None else make(text)
-        except ImportError as bad:
-            raise ConfigError(f"{name}.json: needs the packages of requirements-console.txt: {bad}") from None
-
-    def _sleep(self, config: Config, table: ServerTable, clock: Callable[[], float]) -> Dormancy | None:
-        """What idle destinations are kept in."""
-        def make(text: bytes) -> Dormancy:
-            from ..dormancy.disk import Dormancy
-            return Dormancy(text, config.state, int(config.disk_mb * 1e6), config.class_names, table, clock)
-        return self._subsystem("dormancy", make)
-
-    def _kept(self, config: Config, table: ServerTable, idle_for: float) -> KeptPool | None:
-        """The pool that learns and opens ahead."""
-        def make(text: bytes) -> KeptPool:
-            from ..connections.choice import read
-            from ..connections.kept import KeptPool
-            told = config.settings
-            return KeptPool(read(text), self._wheel, self.spawn, lambda server: table.closed(server, self._loop.time()),
-                            config.most_backends, idle_for, told.connect_timeout, told.cold_share, told.cold_time,
-                            config.state)
-        return self._subsystem("connections", make)
-
-    def _admission(self, config: Config) -> Clients | None:
-        """The gate for clients and its file."""
-        def make(text: bytes) -> Clients:
-            from ..admission.clients import Clients
-            return Clients(text, config.most_clients, config.sockets, config.state, self._wheel, self.sender.overloaded)
-        return self._subsystem("admission", make)
-
-    def _store(self, config: Config) -> Undeliverable | None:
-        """The store of undeliverable messages."""
-        def make(text: bytes) -> Undeliverable:
-            from ..undeliverable.writer import Undeliverable
-            return Undeliverable(text, config.state, self._journal, self._loop)
-        return self._subsystem("undeliverable", make)
-
     def _parts(self, parts: Parts) -> None:
         """What clients and backend servers may hold of the descriptors from now on."""
         self.frontend.hold_at_most(parts.clients)
@@ -319,6 +262,7 @@
             return
         self._stopping = True
         log.info("stopping")
+        self._leave_fleet()
         if self._operations is not None:
             self._operations.duty.stop()
         if self._observer is not None:
@@ -335,6 +279,10 @@
             self._wheel.after(ACCEPT_FOR, self._stop_accepting)
         self._wheel.after(LEAVE_AFTER, self._stop.set)
 
+    def _leave_fleet(self) -> None:
+        if self.node is not None and self._leaving is None:
+            self._leaving = self._loop.create_task(self.node.close())
+
     def _stop_accepting(self) -> None:
         self.frontend.stop_accepting()
         self._leave_when_done()
@@ -367,6 +315,11 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)   # calls still put proofs on record
+        self._leave_fleet()
+        if self._leaving is not None:
+            done, _ = await asyncio.wait([self._leaving], timeout=LEAVE_FLEET)
+            if not done or self._leaving.exception() is not None:
+                log.warning("the fleet was not left in time; the others find out by themselves")
         if self._undeliverable is not None:
             self._undeliverable.close()
         for part in (self._watch, self._notices, self._pool, self._shift or self._journal):
