--- a/linkdock/cluster/log/core.py
+++ b/linkdock/cluster/log/core.py
@@ -370,8 +370,8 @@
         self._messages.append((to, message))
 
     def ready(self) -> i.Ready | None:
-        """Danger: an `image` in it takes the place of the whole log. Entries on disk that conflict with it must not come
-        back after it: a folder keeps them only if it holds the image's own entry, by index and term."""
+        """Danger: an `image` in it takes the place of the whole log. Entries on disk must not come back after it,
+        unless the folder holds the image's own entry, by index and term, before them."""
         self._stable = self._offered
         if self._lead:
             self._lead_on()
