Let `make run` without a configuration show three senders at work, instead of ending with status 2

Who has just built the project and tries `make run` got one line, "RELAY_CONFIG is not set", and nothing to look at: a sender needs a configuration, discovery and backend servers, none of which a newcomer has.

A default configuration in the repository was ruled out: it would name addresses that nobody listens on. Docker-like set-ups too: the laboratory has all the peers already. With RELAY_CONFIG set `make run` is what it was.

--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,5 @@
 	.venv/bin/ruff check .
 
 run: build
-	exec $(PYTHON) -m linkdock
+	@if [ -n "$$RELAY_CONFIG" ]; then exec $(PYTHON) -m linkdock; \
+	else exec $(PYTHON) -m linkdock.lab.processes; fi
