Start real processes under the harness's orders, with folders that are lost and disks that are full

A history of real processes needs what each of them did, in one time, and a harness that can ask anything of them while they run. A socket for it was ruled out: it would be one more thing to be cut. Orders and answers are JSON lines on the process's own standard input and output, whose end is the end of the process; a harness that dies takes it along.

`fleet.py`: start, stop, SIGKILL, folder lost, full disk (RLIMIT_FSIZE of one process), another revision's tree by `git archive`.

--- a/linkdock/lab/processes/checks.py
+++ b/linkdock/lab/processes/checks.py
@@ -7,10 +7,10 @@
 | `begins` | a life of the process; `fresh` if its folder was empty |
 | `node` | its `id` in the cluster, for the life that has begun |
 | `leads` | it leads in `term` |
-| `applied` | entry `index` with the command `op`, in this life |
+| `applied` | entry `index`, in this life; `op` if a proposal was carried out by it, else "" |
 | `asked`, `answered` | proposal `op` by the harness at `who`; `ok`, and then the `index` that it was given |
-| `holds` | a lease `name` with `token` that `who` believes until `until` (seconds) |
-| `ceased` | it gave lease `name` with `token` up, or was told that it is over |
+| `holds` | a lease `name` with `token` that `who` believes from `since` until `until` (seconds of the history) |
+| `ceased` | it gave lease `name` with `token` up at `until`, or was told that it is over |
 | `used` | resource `name` was used with `token`; `ok` if whoever keeps it let it |
 | `reading` | a read of the state by `who` begun at `begun`, whose answer holds entries up to `index` |
 | `final` | at the end: `index` up to which it has applied, `ops` that its state holds, by their index |
@@ -108,11 +108,11 @@
         mine = [span for span in belief[one["name"]] if span[2:] == [one["token"], one["who"]]]
         if one["event"] == "ceased":
             for span in mine:
-                span[1] = min(span[1], one["at"])
+                span[1] = min(span[1], one["until"])
         elif mine:
             mine[-1][1] = max(mine[-1][1], one["until"])
         else:
-            belief[one["name"]].append([one["at"], one["until"], one["token"], one["who"]])
+            belief[one["name"]].append([one["since"], one["until"], one["token"], one["who"]])
     for name, spans in belief.items():
         longest: dict[str, tuple[float, int]] = {}   # of each holder the belief that lasts longest
         for begun, until, token, who in sorted(spans):
--- a/linkdock/lab/processes/fleet.py
+++ b/linkdock/lab/processes/fleet.py
@@ -7,12 +7,21 @@
 import ctypes
 import json
 import os
+import resource
+import shutil
 import signal
+import subprocess
 import sys
+import tarfile
+import tempfile
+from pathlib import Path
 
 from .. import rig
+from .history import History
 
 START, END = 30.0, 8.0   # seconds for a start, and for an end that was asked for
+MOST_LINE = 4 << 20
+ROOT = Path(__file__).parent.parent.parent.parent
 _LIBC = ctypes.CDLL(None, use_errno=True) if sys.platform == "linux" else None
 PR_SET_PDEATHSIG = 1
 
@@ -56,6 +65,7 @@
                "LINKDOCK_DEPLOY": str(self.path / "deploy"), **self.extra}
         if self.lives > 1:
             self.log.close()
+            (self.path / "log").rename(self.path / "log.before")
         self.log = open(self.path / "log", "wb")
         # Danger: Ctrl-C on a terminal goes to the whole group, and children would end before they are told to.
         self.process = await asyncio.create_subprocess_exec(
@@ -64,7 +74,8 @@
 
     def signal(self, number: int) -> None:
         if self.alive:
-            self.process.send_signal(number)
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
 
     async def ended(self, patience: float = END) -> int:
         """Wait for the end of this life; one that does not come is made. Its status."""
@@ -78,14 +89,123 @@
         """As the platform does: SIGTERM, and SIGKILL if that does not end it. Its status; None if it never lived."""
         if self.process is None:
             return None
-        with contextlib.suppress(ProcessLookupError):
-            self.signal(signal.SIGTERM)
+        self.signal(signal.SIGTERM)
         return await self.ended()
 
     def close(self) -> None:
         """Give everything back, whatever happened before."""
-        with contextlib.suppress(ProcessLookupError):
-            self.signal(signal.SIGKILL)
+        self.signal(signal.SIGKILL)
         if self.lives:
             self.log.close()
         super().close()
+
+
+class Led(Child):
+    """A process under the harness's orders: JSON lines in, answers and what happens as JSON lines out."""
+
+    module = "linkdock.lab.processes.child"
+
+    def __init__(self, name: str, zone: str, history: History, *told: object, **more: object) -> None:
+        super().__init__(name, *told, **more)
+        self.zone, self.history, self.id = zone, history, ""
+        self.turn = asyncio.Lock()   # of who starts and ends it
+        self.expected = True         # that it ends
+        self._answers: dict[int, asyncio.Future] = {}
+        self._number, self._reader = 0, None
+
+    async def start(self, port: int = 0) -> None:
+        fresh = not any((self.path / "state").iterdir())
+        await self.begin(stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, limit=MOST_LINE)
+        self.expected = False
+        self.history.append(self.name, "begins", life=self.lives, fresh=fresh, pid=self.process.pid)
+        self._reader = asyncio.create_task(self._read(self.process))
+        self.port = int((await self.logged("listens on ", START)).rsplit(":", 1)[1])
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        with contextlib.suppress(ValueError, ConnectionError):   # a line beyond all bounds
+            while line := await process.stdout.readline():
+                self._heard(line)
+        status = await process.wait()
+        self.history.append(self.name, "ended", status=status, expected=self.expected)
+        for answer in self._answers.values():
+            if not answer.done():
+                answer.set_result({"error": "ended", "text": f"{self.name} has ended"})
+
+    def _heard(self, line: bytes) -> None:
+        try:
+            told = json.loads(line)
+        except ValueError:   # torn by the end of the process
+            return
+        answer = self._answers.pop(told.get("re"), None)
+        if answer is not None and not answer.done():
+            answer.set_result(told)
+        elif "event" in told:
+            for key in ("since", "until"):   # the clock is the machine's, one for all processes
+                if key in told:
+                    told[key] = round(told[key] - self.history.began, 6)
+            self.id = told["id"] if told["event"] == "node" else self.id
+            self.history.append(self.name, told.pop("event"), **told)
+
+    async def ask(self, order: str, patience: float, **told: object) -> dict:
+        """The answer of the process; {"error": ...} if it is not there or does not answer in time."""
+        if not self.alive or self.process.stdin.is_closing():
+            return {"error": "ended", "text": f"{self.name} does not run"}
+        self._number += 1
+        number, answer = self._number, asyncio.get_running_loop().create_future()
+        self._answers[number] = answer
+        try:
+            self.process.stdin.write(json.dumps({"id": number, "do": order, **told}).encode() + b"\n")
+            return await asyncio.wait_for(answer, patience)
+        except (TimeoutError, ConnectionError):
+            return {"error": "silent", "text": f"{self.name} did not answer within {patience:g} s"}
+        finally:
+            self._answers.pop(number, None)
+
+    async def kill(self) -> None:
+        self.expected = True
+        self.signal(signal.SIGKILL)
+        await self.ended()
+        await self._drained()
+
+    async def stop(self) -> int | None:
+        if self.process is None:
+            return None
+        self.expected = True
+        self.signal(signal.SIGCONT)
+        status = await super().stop()
+        await self._drained()
+        return status
+
+    async def _drained(self) -> None:
+        """Danger: what it said before its end must stand in the history before what comes after."""
+        if self._reader is not None:
+            await asyncio.wait([self._reader], timeout=END)
+
+    def lose_folder(self) -> None:
+        shutil.rmtree(self.path / "state")
+        (self.path / "state").mkdir()
+
+    def fill_disk(self, full: bool) -> None:
+        """Writes to files fail from now on, or no more. For this life alone."""
+        if self.alive:
+            with contextlib.suppress(ProcessLookupError):
+                resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (
+                    0 if full else resource.RLIM_INFINITY, resource.RLIM_INFINITY))
+
+    def close(self) -> None:
+        if self._reader is not None:
+            self._reader.cancel()
+        super().close()
+
+
+def older(revision: str, folder: Path) -> str:
+    """The tree of another revision of the program, for a Child's `root`. Raises RuntimeError if git has none."""
+    folder.mkdir()
+    with tempfile.TemporaryFile() as file:
+        done = subprocess.run(["git", "archive", revision], cwd=ROOT, stdout=file, stderr=subprocess.PIPE, timeout=60)
+        if done.returncode:
+            raise RuntimeError(f"git archive {revision}: {done.stderr.decode(errors='replace').strip()}")
+        file.seek(0)
+        with tarfile.open(fileobj=file) as tree:
+            tree.extractall(folder, filter="data")
+    return str(folder)
