--- a/linkdock/cluster/links.py
+++ b/linkdock/cluster/links.py
@@ -190,7 +190,8 @@
 class Links:
     """Owner of the sockets.
 
-    `where` gives a peer's address now; `heard` and `packet` take what comes in, and may not wait; `spawn` runs a coroutine as a task of the owner's.
+    `where` gives a peer's address now; `heard` and `packet` take what comes in, and may not wait; `spawn` runs a
+    coroutine as a task of the owner's.
     """
 
     def __init__(self, seal: Seal, sockets: tuple[socket.socket, socket.socket], where: Where,
@@ -209,11 +210,14 @@
         self._server = _Server(self)
         self._transport: asyncio.DatagramTransport | None = None
 
-    async def run(self) -> None:
-        """Take what comes in, and sweep, until closed."""
+    async def open(self) -> None:
+        """Take what comes in from now on."""
         self._server.add_socket(self._tcp)
         self._transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: _Datagrams(self), sock=self._udp)
+
+    async def sweep(self) -> None:
+        """Close what is late, until all is closed."""
         while not self.closed:
             await asyncio.sleep(KEEP / 4)
             self._sweep()
