--- a/linkdock/lab/processes/checks.py
+++ b/linkdock/lab/processes/checks.py
@@ -14,6 +14,8 @@
 | `used` | resource `name` was used with `token`; `ok` if whoever keeps it let it |
 | `reading` | a read of the state by `who` begun at `begun`, whose answer holds entries up to `index` |
 | `final` | at the end: `index` up to which it has applied, `ops` that its state holds, by their index |
+| `ended`, `failed` | the process has, `expected` or not, with `status`; its node has given up, with `code` |
+| `fault` | the harness did `what` to `whom` |
 | `healed all` | from here on nothing is wrong with processes or links |
 """
 
@@ -148,6 +150,21 @@
     return found
 
 
+def sound(history: Events) -> list[str]:
+    """No process ends by itself, and no node gives up but on a full disk."""
+    found, full = [], set()
+    for one in _of(history, "fault", "begins", "ended", "failed"):
+        if one["event"] == "fault" and one["what"] == "full":
+            full |= set(one["whom"])
+        elif one["event"] == "begins":
+            full.discard(one["who"])
+        elif one["event"] == "ended" and not one["expected"]:
+            found.append(f"{one['who']} ended by itself, status {one['status']}")
+        elif one["event"] == "failed" and one["who"] not in full:
+            found.append(f"the node of {one['who']} gave up: {one['code']}")
+    return found
+
+
 def lively(within: float) -> Check:
     """Once all is healed a proposal is asked and acknowledged within so many seconds."""
     def check(history: Events) -> list[str]:
@@ -162,7 +179,7 @@
     return check
 
 
-ALWAYS: tuple[Check, ...] = (one_order, linearizable, kept, one_leader, one_owner, new_ids)
+ALWAYS: tuple[Check, ...] = (one_order, linearizable, kept, one_leader, one_owner, new_ids, sound)
 
 
 def judge(history: Events, within: float) -> list[str]:
--- a/linkdock/lab/processes/history.py
+++ b/linkdock/lab/processes/history.py
@@ -20,6 +20,7 @@
         self.began, self._clock = clock(), clock
         self._file = open(path, "w", buffering=1) if path is not None else None
         self._news = asyncio.Event()
+        self.told: list[Callable[[dict], None]] = []   # called with each event
 
     @property
     def now(self) -> float:
@@ -34,6 +35,8 @@
         if self._file is not None:
             self._file.write(json.dumps(one, separators=(",", ":")) + "\n")
         self._news.set()
+        for take in self.told:
+            take(one)
         return one
 
     async def seen(self, wanted: Callable[[dict], bool], patience: float, since: int = 0) -> dict | None:
--- a/tests/test_processes_parts.py
+++ b/tests/test_processes_parts.py
@@ -238,7 +238,7 @@
     def say(who, event, **more):
         nonlocal at
         at += 0.1
-        events.append({"at": at, "who": who, "event": event, **more})
+        events.append({"at": round(at, 3), "who": who, "event": event, **more})
     for n, who in enumerate("abc"):
         say(who, "begins", life=1, fresh=True)
         say(who, "node", id=f"{who}~{n}")
@@ -251,6 +251,9 @@
     say("b", "reading", begun=at, index=3)
     say("b", "holds", name="job", token=4, since=at, until=at + 0.35)
     say("b", "used", name="job", token=4, ok=True)
+    say("harness", "fault", what="full", whom=["b"])
+    say("b", "failed", code="LD-CLUSTER-DISK")
+    say("c", "ended", status=-9, expected=True)
     say("c", "begins", life=2, fresh=True)
     say("c", "node", id="c~7")
     say("c", "leads", term=2, id="c~7")
@@ -294,6 +297,8 @@
     ("new_ids", change("node", 3, id="c~2"), "its folder lost"),
     ("new_ids", change("begins", 3, fresh=False), "its folder kept"),
     ("new_ids", change("node", 1, id="a~0"), "a~0 is both a and b"),
+    ("sound", change("ended", expected=False), "c ended by itself, status -9"),
+    ("sound", change("fault", what="stop"), "the node of b gave up: LD-CLUSTER-DISK"),
     ("lively", change("answered", 2, at=99.0), "no commit within 5 s of the healing but after"),
     ("lively", change("answered", 2, ok=False), "no commit within 5 s"),
     ("lively", drop("healed all"), "not all was healed")])
