End a story by SIGINT and SIGTERM as clean as by its end

A harness that was told to end by SIGTERM died at once: its children with it (PDEATHSIG), their folders stayed.

--- a/linkdock/lab/processes/__main__.py
+++ b/linkdock/lab/processes/__main__.py
@@ -82,12 +82,17 @@
     if told.order == "tell":
         return spoken(told.address, " ".join(told.words).encode() + b"\n", True)
     if told.story is not None:
+        import asyncio
+
         from .stories import STORIES
         if told.story not in STORIES:
             parser.error(f"--story must be one of {', '.join(STORIES)}")
         if not 3 <= told.size <= 20 or told.seeds < 1:
             parser.error("--size must be 3 to 20, --seeds at least 1")
-        return played(told)
+        try:
+            return played(told)
+        except asyncio.CancelledError:
+            return 130
     from .show import main as show
     return show()
 
--- a/linkdock/lab/processes/stories.py
+++ b/linkdock/lab/processes/stories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -290,6 +291,8 @@
 
 async def _play(name: str, seed: int, size: int, history: History, told: dict | None, tree: str | None) -> Played:
     luck, figures, found, began = Random(f"{name} {seed}"), {}, [], time.monotonic()
+    for number in (signal.SIGINT, signal.SIGTERM):   # the folders are removed and all processes ended all the same
+        asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
     try:
         roots = dict.fromkeys(list(zones_of(size))[1::2], tree) if tree else {}
         async with asyncio.timeout(MOST), Fleet(history, size, luck.getrandbits(32), told, roots) as fleet:
@@ -313,7 +316,8 @@
          tree: str | None = None) -> Played:
     """One story with one seed, in an event loop of its own; its history goes to `path` as well.
 
-    `told` goes into deploy/cluster.json; every second process runs the program in `tree`, where one is named.
+    `told` goes into deploy/cluster.json; every second process runs the program in `tree`, where one is named. Raises
+    asyncio.CancelledError once SIGINT or SIGTERM has ended it.
     """
     history = History(path)
     try:
