--- a/linkdock/lab/processes/__main__.py
+++ b/linkdock/lab/processes/__main__.py
@@ -50,6 +50,8 @@
     """Print what came of a seed; whether it failed."""
     figures = ", ".join(f"{key} {value}" for key, value in one.figures.items())
     print(f"{told.story} {one.seed}: {'failed' if one.found else 'good'}; {figures}; {one.events} events", flush=True)
+    for text in one.plan if one.found or told.seeds == 1 else ():
+        print(f"    {text}")
     for text in one.found[:20]:
         print(f"    {text}", flush=True)
     if one.found:
--- a/linkdock/lab/processes/checks.py
+++ b/linkdock/lab/processes/checks.py
@@ -7,6 +7,7 @@
 | `begins` | a life of the process; `fresh` if its folder was empty |
 | `node` | its `id` in the cluster, for the life that has begun |
 | `leads` | it leads in `term` |
+| `image` | the state of another process has taken the place of entries |
 | `applied` | entry `index`, in this life; `op` if a proposal was carried out by it, else "" |
 | `asked`, `answered` | proposal `op` by the harness at `who`; `ok`, and then the `index` that it was given |
 | `holds` | a lease `name` with `token` that `who` believes from `since` until `until` (seconds of the history) |
@@ -21,6 +22,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_right
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 
@@ -35,21 +37,27 @@
 def one_order(history: Events) -> list[str]:
     """Every entry is the same at all processes, in the log's order, and one command takes one place only."""
     found, log, places = [], {}, {}
-    last: dict[str, int] = {}
-    for one in _of(history, "begins", "applied"):
+    last: dict[str, int] = {}   # by process: the entry applied before; none after an image, which stands for many
+    steps: list[tuple[str, int, int]] = []
+    for one in _of(history, "begins", "image", "applied"):
         who = one["who"]
-        if one["event"] == "begins":
+        if one["event"] != "applied":
             last.pop(who, None)
             continue
         index, op = one["index"], one["op"]
-        # An image takes the place of entries: a life may begin, and go on, at any later index, and never goes back.
-        if index <= last.get(who, 0):
-            found.append(f"{who} applied entry {index} after {last[who]}")
+        if who in last:
+            steps.append((who, last[who], index))
         last[who] = index
         if log.setdefault(index, op) != op:
             found.append(f"entry {index} is {op} at {who}, and {log[index]} elsewhere")
         elif op and places.setdefault(op, index) != index:
             found.append(f"{op} is applied as entry {places[op]} and again as {index}")
+    known = sorted(log)
+    for who, before, index in steps:
+        if index <= before:
+            found.append(f"{who} applied entry {index} after {before}")
+        elif (passed := known[bisect_right(known, before)]) != index:
+            found.append(f"{who} applied entry {index} after {before}, without {passed}")
     return found
 
 
--- a/linkdock/lab/processes/stories.py
+++ b/linkdock/lab/processes/stories.py
@@ -287,6 +287,7 @@
     found: list[str]
     figures: dict
     events: int
+    plan: list[str]   # the faults of a storm
 
 
 async def _play(name: str, seed: int, size: int, history: History, told: dict | None, tree: str | None) -> Played:
@@ -309,7 +310,8 @@
         figures["end s"] = round(time.monotonic() - ending, 3)
     except Exception as wrong:   # also of the harness itself: the next seed is played all the same
         found.append(f"{type(wrong).__name__}: {wrong}")
-    return Played(seed, found + judge(history.events, WITHIN), figures, len(history.events))
+    plan = [one["text"] for one in history.events if one["event"] == "planned"]
+    return Played(seed, found + judge(history.events, WITHIN), figures, len(history.events), plan)
 
 
 def play(name: str, seed: int, size: int, path: Path | None = None, told: dict | None = None,
--- a/tests/test_processes_parts.py
+++ b/tests/test_processes_parts.py
@@ -284,6 +284,7 @@
     ("one_order", change("applied", 1, op="other"), "entry 2 is other at b"),
     ("one_order", change("applied", 5, index=1), "c applied entry 1 after 2"),
     ("one_order", change("applied", 5, op="x"), "entry 3 is x at c"),
+    ("one_order", change("applied", 4, index=4), "b applied entry 4 after 2, without 3"),
     ("linearizable", change("answered", 1, index=7), "y was acknowledged as entry 7 and is entry 3"),
     ("linearizable", change("answered", 2, index=1), "z is entry 1, though 3 was"),
     ("linearizable", change("reading", index=2), "a read at b"),
