--- a/linkdock/cluster/engine.py
+++ b/linkdock/cluster/engine.py
@@ -14,6 +14,7 @@
 from .leases import Answer, Asked, Command, Done, Granted, LeaseClock, State, read_request, request
 from .log.core import Core, founded
 from .log.settings import LogSettings
+from .points import point
 from .storage import Storage
 
 log = logging.getLogger(__name__)
@@ -145,7 +146,9 @@
 
     async def _carry_out(self, ready: Ready) -> None:
         if ready.vote is not None or ready.entries or ready.image is not None:
+            point("write")
             await self._on_disk(self.storage.write, ready.vote, ready.entries, ready.image)
+            point("written")
         for to, message in ready.messages:
             self._send(to, message)
         if ready.image is not None:
@@ -167,6 +170,7 @@
         if entry.kind != Kind.COMMAND:
             return
         answer = self.state.apply(entry.index, entry.data)
+        point("apply")
         asked = read_request(entry.data)
         if asked is None:
             return
@@ -205,6 +209,7 @@
 
     async def _compact(self) -> None:
         """Danger: the image is of what is applied now, and so must its Config be; the log may go on meanwhile."""
+        point("compact")
         image = Image(self.index, self._term, self.core.config_at(self.index), self.state.image())
         await self._on_disk(self.storage.compact, image)
         self.core.compact(image)
