Look a member's address up in the table, not in a copy of the whole view for each frame

Seen in review: Node._where copied the view, one Rumour a member, for each frame and datagram. The interface says what an image in Ready does to the log before it.

--- a/linkdock/cluster/interface.py
+++ b/linkdock/cluster/interface.py
@@ -141,7 +141,8 @@
 class Ready(msgspec.Struct, frozen=True):
     """What the caller has to do, in this order, before it asks again.
 
-    1. Write `image`, cut the log from `entries[0].index` on and write `entries`, write `vote`; sync once.
+    1. Write `image`, which takes the place of the whole log but for entries that go on from its own; cut the log from
+       `entries[0].index` on and write `entries`, write `vote`; sync once.
     2. Send `messages` (to, message). Danger: before step 1 is on disk they would promise what a crash takes back.
     3. Apply `committed` in order. `image` (if given) goes to the state first.
     """
--- a/linkdock/cluster/node.py
+++ b/linkdock/cluster/node.py
@@ -169,8 +169,8 @@
         route = self._routes.get(name_of(peer_id))
         if route is not None:
             return route
-        rumour = self.members.view().get(peer_id)
-        return None if rumour is None else (rumour.peer.host, rumour.peer.port)
+        record = self.members.table.get(peer_id)
+        return None if record is None else (record.peer.host, record.peer.port)
 
     def _on_frame(self, sender: str, message: AnyFrame) -> None:
         if isinstance(message, Message):
