Let a follower take no more entries than its folder has room for

Seen: on a busy machine a test of three nodes failed at times: a follower ended for good with LD-CLUSTER-DISK, disk_mb is used up. Excluded: the leader's bound on proposals (it held), images (made in time at the leader). At fault: Engine.step, which handed on every Append while the follower's own write was under way; the leader bounds what is proposed by its own folder alone. Change: entries that have no room are left out of the Append, which still tells what is committed; they come again once an image gave room back. A test with a slow disk fails without it.

--- a/linkdock/cluster/engine.py
+++ b/linkdock/cluster/engine.py
@@ -8,6 +8,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from random import Random
 
+from msgspec.structs import replace
+
 from .disk import StorageFailed
 from .errors import NotLeading, TooBusy
 from .interface import Append, Entry, Image, Install, Kind, Message, Ready, Stored
@@ -21,6 +23,7 @@
 
 APPLY = 64          # entries that are applied before others in the loop have their turn
 LONGEST_WAIT = 1.0  # seconds without a look at what is due
+EACH = 32           # bytes that an entry takes on disk besides its data, at the most
 CLOSE = 0.5         # seconds that a write which is under way may take at the end
 
 Change = Callable[[int, Command | None, Answer | None], None]
@@ -66,7 +69,7 @@
         self._known: tuple[str | None, int] = (None, -1)
         self._stirred = Alarm(loop)
         self._founding = False
-        self._unwritten = 0              # bytes proposed here that the folder does not count yet
+        self._unwritten = 0              # bytes of entries given to the machine that the folder does not count yet
         self.writes, self.longest_write = 0, 0.0
         self._begin(storage.stored)
         storage.stored = Stored()   # the log holds it from now on
@@ -95,6 +98,14 @@
         if self._founding:
             return   # Danger: another's log taken in while its own is begun
         now = self.clock()
+        if isinstance(message, Append) and message.entries:
+            size = sum(len(entry.data) + EACH for entry in message.entries)
+            if self._unwritten + size > self.storage.room:
+                # Danger: more than the folder takes ends this node for good, and the leader knows its own room alone.
+                # What does not fit comes again; what is here is committed meanwhile, and its image gives room back.
+                message = replace(message, entries=())
+            else:
+                self._unwritten += size
         self.core.step(now, sender, message)
         if isinstance(message, Append | Install) and self.core.leader == sender:
             self.heard = now
--- a/tests/test_cluster_node.py
+++ b/tests/test_cluster_node.py
@@ -281,6 +281,28 @@
     assert isinstance(await late.propose(Put("k", b"v"), LIMIT), Done)
 
 
+@story
+async def test_a_follower_with_a_slow_disk_takes_what_fits_and_goes_on(fleet):
+    """The leader's folder bounds what is proposed, not the follower's: what has no room there comes again."""
+    nodes = await fleet.founded()
+    follower = nodes[(fleet.leader + 1) % 3]
+    storage, write = follower.engine.storage, follower.engine.storage.write
+    storage._most, storage._part = 400_000, 60_000
+
+    def slowly(*given):
+        time.sleep(0.1)   # on the disk's thread: meanwhile more comes than has room
+        write(*given)
+    storage.write = slowly
+    for n in range(8):
+        answers = await asyncio.gather(*(nodes[fleet.leader].propose(Put(f"k{m % 5}", bytes([n]) * 9000), LIMIT)
+                                         for m in range(30)))
+        assert all(isinstance(answer, Done) for answer in answers)
+    storage.write = write
+    await until(lambda: follower.failed or follower.engine.index == nodes[fleet.leader].engine.index)
+    assert follower.failed is None and storage.used <= 400_000
+    assert follower.engine.core.image.index > 20
+
+
 @story
 async def test_strangers_and_silent_connections_are_closed_and_counted(fleet):
     node, = fleet.start(0, founders=1)
