Count what lay in the socket at the start as early however late it is read

What a client sent before the process had started may be 0.4 s old, and its time is cut by as much. The desk told it by the clock: whatever was read within 50 ms of the start. Between the start and the first read lie the first decision pass, the first turns of the watch and the notices, the accept, and two more turns of the loop; on a busy machine these took longer than 50 ms, and the message kept time that it did not have (5.99 s told where at most 5.6 is right).

Now the listener takes up each socket's queue in the loop's first turn, whether readable or not, and until it has found it empty once, what it takes counts as having waited; the first command of such a connection is handed in as early. A longer window alone was ruled out: it would cut what comes fresh, and would fail at a higher load.

--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -43,8 +43,12 @@
 class Desk(Protocol):
     """What a front needs."""
 
-    def ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
-        """Hand a request in; its `answer` is called once. Raises Refused if it can never be taken."""
+    def ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool,
+            early: bool = False) -> None:
+        """Hand a request in; its `answer` is called once. Raises Refused if it can never be taken.
+
+        `early`: it may have lain in the socket until this process had started.
+        """
 
 
 def encode(answer: Taken | Busy | Failed) -> bytes:
@@ -79,6 +83,7 @@
         self._places: dict[IOStream, Place] = {}           # and its place at the door,
         self._streams: dict[Place, IOStream] = {}          # both ways
         self._closing = False
+        self._early = 0                                    # number of the last place that may have waited for the start
         self.observer: Observer | None = None              # of the records, where they are on
         self.duty: Duty | None = None                      # whether clients are taken, where there are operators
         self.port = sockets[0].getsockname()[1]
@@ -102,6 +107,8 @@
             return
         place = self._places[stream] = self._door.enter(now)
         place.address, self._streams[place] = host, stream
+        if self._listener.catching_up:
+            self._early = place.number
         if gate is not None:
             gate.enter(now, place)
         if self.observer is not None:
@@ -332,7 +339,7 @@
             told()
             return there
 
-        self._ask(words, answer, place.number)
+        self._ask(words, answer, place)
         read.add_done_callback(gone)
         await answered   # its deadline is the desk's: every request is answered at its next tick
         if not writes:
@@ -340,7 +347,7 @@
             raise resp.Malformed("too much behind one command")
         return writes[0]
 
-    def _ask(self, words: list[bytes], answer: Callable, client: int) -> None:
+    def _ask(self, words: list[bytes], answer: Callable, place: Place) -> None:
         if len(words) != 5:
             raise Refused("wrong number of arguments for 'enqueue'")
         _, key, name, pairs, body = words
@@ -359,9 +366,10 @@
             if not (told[what].isascii() and told[what].isdigit()) or len(told[what]) > 9:
                 raise Refused(f"{what} is not a whole number")
         request = Request(name.decode(), key.decode(), 0, int(told["dest"]), 0.0, body, answer=answer,
-                          client=client)
+                          client=place.number)
         self._desk.ask(told["c"], int(told["dest"]), int(told["d"]) / 1000, request,
-                       told.get("r") == "1", told.get("again") == "1")
+                       told.get("r") == "1", told.get("again") == "1",
+                       early=place.commands == 1 and place.number <= self._early)
 
     # --- The end.
 
--- a/linkdock/protocol/listening.py
+++ b/linkdock/protocol/listening.py
@@ -53,9 +53,21 @@
         self._spare: int | None = None
         self._said_at = -SAY_EVERY
         self._closed = False
+        self._unseen = set(sockets)   # not found empty yet
         self.refused = 0     # for want of descriptors, since the start
         self._keep_spare()
         self._look()
+        self._loop.call_soon(self._first)
+
+    @property
+    def catching_up(self) -> bool:
+        """Whether what is taken now may have waited in the queue for this process to start."""
+        return bool(self._unseen)
+
+    def _first(self) -> None:
+        """Danger: a queue that is empty at the start is never readable, and its first client would count as early."""
+        for sock in list(self._unseen):
+            self._readable(sock)
 
     def _keep_spare(self) -> None:
         if self._spare is None:
@@ -76,6 +88,7 @@
             try:
                 connection, address = sock.accept()
             except (BlockingIOError, InterruptedError):
+                self._unseen.discard(sock)
                 return
             except OSError as bad:
                 if bad.errno in NO_ROOM:
--- a/linkdock/sender/desk.py
+++ b/linkdock/sender/desk.py
@@ -71,18 +71,23 @@
 
     # --- What comes in.
 
-    def ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
-        """A front hands in a request, which is answered at the next tick at the latest."""
+    def ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool,
+            early: bool = False) -> None:
+        """A front hands in a request, which is answered at the next tick at the latest.
+
+        `early`: it may have lain in the socket until this process had started, however late it is read.
+        """
         if self._b.observer is None:
-            return self._ask(cls, destination, left, request, again, held)
+            return self._ask(cls, destination, left, request, again, held, early)
         self._b.observer.handed_in(request, cls, left, again, held)
         try:
-            self._ask(cls, destination, left, request, again, held)
+            self._ask(cls, destination, left, request, again, held, early)
         except Refused as why:
             self._b.observer.refused(request.id, cls, destination, str(why))
             raise
 
-    def _ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool) -> None:
+    def _ask(self, cls: str, destination: int, left: float, request: Request, again: bool, held: bool,
+             early: bool) -> None:
         if cls not in self._b.rules.classes:
             raise Refused("unknown class")
         unknown = not self._b.table.knows(destination)
@@ -90,7 +95,7 @@
             raise Refused("unknown destination")
         if left > 2 * self._b.rules.settings.classes[self._b.rules.classes[cls]].deadline:
             raise Refused("d is beyond the deadline of its class")
-        if self._b.clock() < self._fresh_from:
+        if early or self._b.clock() < self._fresh_from:
             # Danger: its time runs from when the client sent it, which may be as long ago as a client waits: it lay in
             # the socket until this process had started. Told too late, its end counts as none.
             left = max(0.0, left - WAITED)
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -1,5 +1,6 @@
 """Stories of two processes that are one sender: upgrades under load."""
 
+import asyncio
 import contextlib
 import json
 import os
@@ -12,10 +13,14 @@
 import time
 
 import pytest
-from peers import ROOT, Backend, Client, Discovery, Program, refuse, settings
+from peers import PATIENCE, ROOT, Backend, Client, Discovery, Program, refuse, settings
 from test_operations import call, eventually, figures, ops
 
+from linkdock.protocol.frontend import Frontend
+from linkdock.protocol.listening import BATCH, Listener
 from linkdock.state.journal import owed
+from linkdock.state.requests import Taken
+from linkdock.state.wheel import Wheel
 
 
 class Pair:
@@ -341,3 +346,54 @@
     finally:
         program.close()
         listening.close()
+
+
+def test_all_that_lay_in_the_socket_counts_as_early_however_late_it_is_read():
+    class Desk:
+        def __init__(self):
+            self.early, self.heard = {}, asyncio.Event()
+
+        def ask(self, cls, destination, left, request, again, held, early):
+            self.early[request.id] = early
+            self.heard.set()
+            request.answer(Taken())
+
+    async def story():
+        listening, desk = socket.create_server(("127.0.0.1", 0), backlog=100), Desk()
+        listening.setblocking(False)
+        # More than one turn takes, and nothing that a clock would call late or early.
+        clients = [Client(listening.getsockname()[1]) for _ in range(BATCH + 20)]
+        for n, client in enumerate(clients):
+            client.send("ENQUEUE", "0" * 16, f"ea{n}", "c=order,d=6000,dest=1", b"hello")
+        frontend = Frontend(desk, [listening], Wheel(0.01, 0.0), asyncio.ensure_future, 200, 200, 1 << 20)
+        while len(desk.early) < len(clients):
+            await asyncio.wait_for(desk.heard.wait(), PATIENCE)
+            desk.heard.clear()
+        assert all(desk.early.values())
+        # The next on one of these, and the first on a connection that came later, were sent to a process that reads.
+        assert await asyncio.to_thread(clients[0].heard) == "+OK"
+        late = [clients[0], Client(frontend.port)]
+        for n, client in enumerate(late):
+            client.send("ENQUEUE", "0" * 16, f"la{n}", "c=order,d=6000,dest=1", b"hello")
+            assert await asyncio.to_thread(client.heard) == "+OK"
+        assert desk.early["la0"] is desk.early["la1"] is False
+        frontend.close()
+
+    asyncio.run(story())
+
+
+def test_the_first_client_of_a_socket_in_which_nobody_waited_is_not_early():
+    async def story():
+        listening, came = socket.create_server(("127.0.0.1", 0)), asyncio.Event()
+        listening.setblocking(False)
+        listener = Listener([listening], Wheel(0.01, 0.0), lambda sock, address: (sock.close(), came.set()))
+        assert listener.catching_up
+        await asyncio.sleep(0)   # its first turn
+        assert not listener.catching_up
+        client = Client(listening.getsockname()[1])
+        await asyncio.wait_for(came.wait(), PATIENCE)
+        assert not listener.catching_up
+        client.sock.close()
+        listener.close()
+
+    asyncio.run(story())
