--- a/linkdock/lab/fleet.py
+++ b/linkdock/lab/fleet.py
@@ -121,6 +121,7 @@
     report = {
         "seed": seed, "toppled": sum(m.toppled for m in troubled), "rule broken": sum(m.broken for m in troubled),
         "most of the rule": round(max(m.most_over for m in troubled), 3),
+        "most of its bound": round(max(m.most_bound for m in troubled), 3),
         "most by those told": round(max(m.most_told for m in troubled), 3),
         "served": round(sum(t.served for t in tallies) / asked, 4),
         "failed": round(sum(t.failed for t in tallies) / asked, 4), "took s": round(time.perf_counter() - began, 1)}
--- a/linkdock/lab/grown.py
+++ b/linkdock/lab/grown.py
@@ -202,6 +202,7 @@
              if WARM_UP <= at < back and fleet.members[n] in troubled]
     return {"toppled": sum(m.toppled for m in troubled), "rule broken": sum(m.broken for m in troubled),
             "most of the rule": round(max(m.most_over for m in troubled), 3),
+            "most of its bound": round(max(m.most_bound for m in troubled), 3),
             "s until a sender stopped it": round(statistics.median(acted), 2) if acted else None}
 
 
