--- a/linkdock/state/asking.py
+++ b/linkdock/state/asking.py
@@ -15,6 +15,8 @@
 EACH = 0.08         # seconds that each sender adds to the span of the first asks: 40 over 2.5 s had 12 turned away
 FIRST = 1 / 8       # first pause after a refusal, in told periods; it doubles
 MOST = 1 / 2        # up to this, which by chance half to one and a half times stays inside the period
+REOPEN = 4.5        # seconds of the span at the most after a watch that broke: what it missed counts as told 6 s after
+                    # it fell silent and binds 2 s later; until it is opened anew 3 s go by besides
 NOTHING = 1.0       # seconds of the span at the most for one that has no list at all
 MOVED = 2.0         # seconds at the most after a change of address, of the 4 within which its news counts as told
 
@@ -43,7 +45,7 @@
         """Until the next ask after one that ended; `served`: it had brought news."""
         if served:
             self._refused = 0
-            return AGENT + self.first()
+            return AGENT + (self._random.uniform(0.0, min(self._span, REOPEN)) if self._paid else 0.0)
         if not self._paid:
             self._refused += 1
             return AGENT
--- a/tests/test_asking.py
+++ b/tests/test_asking.py
@@ -7,7 +7,7 @@
 from test_operations import figures, ops
 from test_stories import socket_that_is_called
 
-from linkdock.state.asking import AGENT, MOVED, Asking
+from linkdock.state.asking import AGENT, MOVED, SILENCE, Asking
 
 WITHIN = 10.0
 
@@ -48,6 +48,15 @@
     assert max(asking.moved() for asking in senders) <= MOVED
 
 
+@pytest.mark.parametrize("senders", [3, 40, 100, 200])
+def test_a_watch_that_fell_silent_is_opened_anew_before_what_it_missed_binds(senders):
+    """Told 6 s after it fell silent, binding 2 s after that; a tenth of a second is left for the answer."""
+    for seed in range(200):
+        asking = Asking(True, senders, 10.0, seed)
+        asking.first()
+        assert SILENCE + asking.again(True) < 6.0 + 2.0 - 0.1
+
+
 def test_one_that_has_no_list_asks_within_a_second_and_then_as_all_do():
     bare = [Asking(True, 40, WITHIN, seed=n, nothing=True) for n in range(40)]
     first = [asking.first() for asking in bare]
