--- a/linkdock/failover/flow.py
+++ b/linkdock/failover/flow.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 SAME_REGION, FURTHER = 1, 3   # cost of a unit; FURTHER within the triangle: no chain beats the direct way
-RESERVE = 0.1                 # part of a zone's capacity that others never fill
+RESERVE = 0.05                # part of a zone's capacity that others never fill
 
 
 class Flow(NamedTuple):
