Pace what goes to far zones, and end a return only when the zone's own backlog is gone

Seen on the virtual clock: messages held while a fall was found out went to the neighbour at once, and those held during a return at its end; both toppled zones. A route now has a pace for each far zone within its spare, and a return ends once little waits. After a cut a zone's own processes need no lease: it was never cold for them.

--- a/linkdock/failover/flow.py
+++ b/linkdock/failover/flow.py
@@ -15,11 +15,15 @@
 
 
 class Flow(NamedTuple):
-    """Units by (from zone, to zone), own zone included; and by zone what fits nowhere, which stays where it is."""
+    """Units by (from zone, to zone), own zone included; and by zone what fits nowhere, which stays where it is.
+
+    `room` has what each zone could have taken from others.
+    """
 
     units: dict[tuple[int, int], int]
     unserved: dict[int, int]
     cost: int
+    room: dict[int, int]
 
 
 def cost_of(a: int, b: int, regions: Mapping[int, int]) -> int:
@@ -47,7 +51,7 @@
     for pair, many in moved.items():
         units[pair] = units.get(pair, 0) + many
         left[pair[0]] -= many
-    return Flow(units, {zone: many for zone, many in left.items() if many}, cost)
+    return Flow(units, {zone: many for zone, many in left.items() if many}, cost, spare)
 
 
 def transport(supply: Mapping[int, int], room: Mapping[int, int],
--- a/linkdock/failover/judge.py
+++ b/linkdock/failover/judge.py
@@ -30,6 +30,8 @@
 CALM = 2.0             # seconds without evidence after which a suspect one serves again
 HOLD = 10.0            # seconds of good answers before a return; twice that for each relapse
 MOST_HOLD = 160.0
+DRAINED = 0.5          # seconds of a zone's limit that may wait when its return is over
+MOST_RETURN = 60.0     # seconds after which it is over in any case
 STEADY = 30.0          # seconds of service after which an incident is over
 REROUTE = 2.0          # seconds between two changes of routes without a change of states
 WORTH = 0.05           # part of a zone's demand that must move for one
@@ -65,12 +67,17 @@
 
 
 class Route(msgspec.Struct, frozen=True, array_like=True):
-    """Where messages of one zone for one destination go: a zone for each slot. `unserved`: messages a second."""
+    """Where messages of one zone for one destination go: a zone for each slot. `unserved`: messages a second.
+
+    `pace`, by zone: how many messages a second a process may send there for each one that comes in at it. All processes
+    together keep within the zone's spare by it. Danger: what was held while a fall was found out goes all at once.
+    """
 
     destination: int
     zone: int
     slots: bytes
     unserved: float = 0.0
+    pace: tuple[tuple[int, float], ...] = ()
 
 
 class Decision(msgspec.Struct, frozen=True, array_like=True):
@@ -147,6 +154,7 @@
     evidence: dict[tuple[int, int], Evidence]
     limits: dict[tuple[int, int], float]     # messages a second
     demand: dict[tuple[int, int], float]
+    waiting: dict[tuple[int, int], int]      # messages, by destination and the zone of those who hold them
     silent: frozenset[int]                   # zones none of whose processes is heard, while others are
     heard: int                               # observers with fresh reports, weighing full
     heard_zones: int
@@ -162,6 +170,7 @@
     verdicts: dict[tuple[int, int], dict[int, list[float]]] = {}
     limits: dict[tuple[int, int], list[float]] = {}
     demand: dict[tuple[int, int], float] = {}
+    waiting: dict[tuple[int, int], int] = {}
     zones: dict[int, list[bool]] = {}
     sound: list[int] = []
     weights_in: dict[int, float] = {}
@@ -172,7 +181,8 @@
             weights_in[report.zone] = weights_in.get(report.zone, 0.0) + weight
             sound += [] if report.cut else [report.zone]
         if now - at <= REMEMBERED:
-            for destination, rate in report.demand:
+            for destination, rate, waits in report.demand:
+                waiting[destination, report.zone] = waiting.get((destination, report.zone), 0) + waits
                 demand[destination, report.zone] = demand.get((destination, report.zone), 0.0) + rate
         for cell in report.cells:
             key = cell.destination, cell.zone
@@ -185,7 +195,7 @@
     heard = {zone for zone, fresh in zones.items() if any(fresh)}
     outside = {key: sum(w for z, w in weights_in.items() if z != key[1]) for key in verdicts}
     return View({key: _sum(key[1], by, outside[key]) for key, by in verdicts.items()},
-                {key: median_low(told) for key, told in limits.items()}, demand,
+                {key: median_low(told) for key, told in limits.items()}, demand, waiting,
                 frozenset(set(zones) - heard if 2 * len(heard) > len(zones) else ()),
                 len(sound), len(set(sound)))
 
@@ -210,7 +220,8 @@
     standings = {(s.destination, s.zone): s for s in last.standings}
     for key in sorted({*view.evidence, *view.limits, *standings}):
         step = _step(standings.get(key) or Standing(*key, State.SERVING, now - STEADY),
-                     view.evidence.get(key, NOTHING), key[1] in view.silent, _alone(key, standings, view), now, rules)
+                     view.evidence.get(key, NOTHING), key[1] in view.silent, _alone(key, standings, view),
+                         view.waiting.get(key, 0) > DRAINED * view.limits.get(key, 0.0), now, rules)
         if step.state is State.SERVING and now - step.since >= STEADY:
             standings.pop(key, None)
         elif key in standings or len(standings) < MOST_STANDINGS:
@@ -236,7 +247,8 @@
     return all((s := standings.get(k)) is not None and s.state is State.OUT for k in others)
 
 
-def _step(s: Standing, seen: Evidence, silent: bool, alone: bool, now: float, rules: Rules) -> Standing:
+def _step(s: Standing, seen: Evidence, silent: bool, alone: bool, held_back: bool, now: float,
+          rules: Rules) -> Standing:
     fails, serves = seen.fails(), seen.serves()
     bad_since = (s.bad_since if s.bad_since >= 0 else now) if fails else -1.0
     good_since = (s.good_since if s.good_since >= 0 else now) if serves else -1.0
@@ -265,7 +277,9 @@
         return s
     if fails and now - bad_since >= CONFIRM:
         return to(State.OUT, shifts=1, relapses=s.relapses + 1, inside=seen.bad_in < HEARD)
-    return to(State.SERVING) if held >= max(CALM, rules.cold_time) else s
+    # Danger: what the zone's own have held goes at once when the leases end; others' is paced by their routes.
+    over = held >= max(CALM, rules.cold_time) and (not held_back or held >= MOST_RETURN)
+    return to(State.SERVING) if over else s
 
 
 def allowance(s: Standing | None, limit: float, now: float, rules: Rules) -> float:
@@ -288,7 +302,7 @@
             can = allowance(s, limit, now, rules)
             demand[zone] = round(view.demand.get((destination, zone), 0.0) / UNIT)
             far[zone] = int(can / UNIT)
-            inside = s is not None and s.state is State.OUT and s.inside and not s.by_hand
+            inside = s is not None and s.state is not State.SERVING and s.inside and not s.by_hand
             near[zone] = int(limit / UNIT) if inside else far[zone]
             if limit == 0 and s is None:
                 near[zone] = demand[zone]   # nothing was told: what is near stays there
@@ -306,12 +320,32 @@
             total = sum(n for (a, _), n in found.units.items() if a == zone) + found.unserved.get(zone, 0)
             shares = {b: n / total for (a, b), n in found.units.items() if a == zone and b != zone and total}
             slots = remap(old.get((destination, zone), bytes([zone]) * SLOTS), shares, zone)
+            pace = tuple((b, round(n / total * found.room[b] / _into(found, b), 4))
+                         for (a, b), n in sorted(found.units.items()) if a == zone and b != zone)
             unserved = round(found.unserved.get(zone, 0) * UNIT, 1)
             if slots != bytes([zone]) * SLOTS or unserved:
-                routes.append(Route(destination, zone, slots, unserved))
+                routes.append(Route(destination, zone, slots, unserved, pace))
     return tuple(routes[:MOST_ROUTES])
 
 
+def _into(found: flow.Flow, zone: int) -> int:
+    return sum(n for (a, b), n in found.units.items() if b == zone and a != zone)
+
+
+def lease_room(s: Standing, view: View, now: float, rules: Rules) -> float:
+    """Messages a second that all leases of a returning zone may come to. After a cut its own processes need none."""
+    key = s.destination, s.zone
+    limit = view.limits.get(key, 0.0)
+    own = view.demand.get(key, 0.0) if s.inside else 0.0
+    return max(0.0, min(rules.allowance(limit, now - s.since), limit * (1 - flow.RESERVE) - own))
+
+
+def needs_lease(decision: Decision, destination: int, zone: int, own: int) -> bool:
+    """Whether a process of the zone `own` may send there only under a lease."""
+    s = decision.standing(destination, zone)
+    return s is not None and s.state is State.RETURNING and not (s.inside and zone == own)
+
+
 def _differ(old: Iterable[Route], new: Iterable[Route]) -> bool:
     """Whether new routes are worth a decision: some zone's demand would move by WORTH."""
     before, after = ({(r.destination, r.zone): r for r in routes} for routes in (old, new))
--- a/linkdock/failover/observe.py
+++ b/linkdock/failover/observe.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from math import exp, inf
 
@@ -53,7 +54,7 @@
 class Report(msgspec.Struct, frozen=True, array_like=True):
     """One process's word. `number` rises; `cut` says that the process holds itself to be cut off.
 
-    `demand` has, by destination, the messages a second that came in at this process.
+    `demand` has, by destination, the messages a second that came in at this process, and how many wait there.
     """
 
     observer: str
@@ -61,7 +62,7 @@
     number: int
     cut: bool
     members: float
-    demand: tuple[tuple[int, float], ...] = ()
+    demand: tuple[tuple[int, float, int], ...] = ()
     cells: tuple[Cell, ...] = ()
 
 
@@ -75,7 +76,7 @@
         report = msgspec.msgpack.decode(data, type=Report)
     except msgspec.MsgspecError:
         return None
-    numbers = [report.members, *(n for _, n in report.demand)]
+    numbers = [report.members, *(n for _, *pair in report.demand for n in pair)]
     numbers += [n for c in report.cells for n in (c.good, c.bad, c.refused, c.limit, c.wait)]
     fits = len(report.cells) <= MOST_TOLD and len(report.demand) <= MOST_TOLD
     return report if fits and all(0 <= n < 1e9 for n in numbers) else None
@@ -132,8 +133,17 @@
         while len(self._cells) > MOST_KEPT:
             del self._cells[next(iter(self._cells))]
 
-    def report(self, now: float, members: float = 1.0) -> Report:
-        """What to tell the others; `members` is the share of the fleet's other processes that the membership sees."""
+    def demand(self, now: float, destination: int) -> float:
+        """Messages a second that come in for it here."""
+        rate, at = self._demand.get(destination, (0.0, now))
+        return rate * exp(-max(0.0, now - at) / DEMAND_AGE)
+
+    def report(self, now: float, members: float = 1.0, waiting: Mapping[int, int] | None = None) -> Report:
+        """What to tell the others; `members` is the share of the fleet's other processes that the membership sees.
+
+        `waiting` has how many messages wait here, by destination.
+        """
+        waits = waiting or {}
         self._number += 1
         cells = []
         for (destination, zone), cell in self._cells.items():
@@ -146,8 +156,8 @@
                               round(cell.refused * part, 2), cell.fails, round(silent, 2), round(limit, 2),
                               round(max(0.0, cell.wait_until - now), 2)))
         told = sorted(cells, key=lambda c: (-c.fails, -(c.good + c.bad + c.refused), c.destination, c.zone))
-        demand = [(d, round(rate * exp(-max(0.0, now - at) / DEMAND_AGE), 2))
-                  for d, (rate, at) in self._demand.items() if now - at <= FORGET]
+        demand = [(d, round(self.demand(now, d), 2), waits.get(d, 0))
+                  for d, (_, at) in self._demand.items() if now - at <= FORGET]
         demand.sort(key=lambda pair: (-pair[1], pair[0]))
         return Report(self.name, self.zone, self._number, cut_off(cells, members), round(members, 2),
                       tuple(demand[:MOST_TOLD]), tuple(told[:MOST_TOLD]))
--- a/linkdock/failover/operators.py
+++ b/linkdock/failover/operators.py
@@ -49,8 +49,8 @@
             seen = view.evidence.get((s.destination, zone), UNSEEN)
             if seen.fails() or seen.doubtful():
                 raise StillDown(f"zone {zone} does not answer at destination {s.destination}")
-            s = msgspec.structs.replace(s, state=State.RETURNING, since=now, by_hand=False, shifts=2, good_since=-1.0,
-                                        bad_since=-1.0)
+            s = msgspec.structs.replace(s, state=State.RETURNING, since=now, by_hand=False, inside=False, shifts=2,
+                                        good_since=-1.0, bad_since=-1.0)
         standings.append(s)
     routes = route(standings, view, now, regions, last.routes, rules)
     return Decision(last.epoch + 1, now, now, tuple(standings), routes)
--- a/linkdock/failover/shares.py
+++ b/linkdock/failover/shares.py
@@ -52,6 +52,21 @@
     return [(message, now) for message, chosen, now in moves if now != chosen]
 
 
+class Pace:
+    """How fast one process may send to one far zone; `rate` in messages a second, a quarter of a second at once."""
+
+    def __init__(self) -> None:
+        self._tokens, self._at = 1.0, 0.0
+
+    def may_go(self, now: float, rate: float) -> bool:
+        self._tokens = min(max(1.0, rate / 4), self._tokens + max(0.0, now - self._at) * rate)
+        self._at = now
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
 class Row(Protocol):
     """What the overlay needs of a row of the server table (`facade.Server`)."""
 
--- a/linkdock/lab/virtual_failover.py
+++ b/linkdock/lab/virtual_failover.py
@@ -42,11 +42,13 @@
         self.decision, self.slots = Decision(), {}
         self.inbox: dict[str, Known] = {}            # a voter's
         self.spenders: dict[tuple[int, int], list[returning.Spender]] = defaultdict(list)
-        self.paused_until = 0.0
+        self.far: dict[tuple[int, int], shares.Pace] = defaultdict(shares.Pace)
+        self.paces, self.paused_until = {}, 0.0
 
     def adopt(self, came: Decision) -> None:
         self.decision = judge.newer(self.decision, came)
         self.slots = {(r.destination, r.zone): r.slots for r in self.decision.routes}
+        self.paces = {(r.destination, r.zone): dict(r.pace) for r in self.decision.routes}
 
 
 class World:
@@ -162,9 +164,12 @@
     def gate(self, p: Process, key: tuple[int, int]) -> bool:
         if self.policy == "truth":
             return True
-        if self.policy == "ours" and p.decision.state(*key) is State.RETURNING:
+        if self.policy == "ours" and judge.needs_lease(p.decision, *key, p.zone):
             p.spenders[key] = [s for s in p.spenders[key] if s.until > self.now]
             return any(s.may_go(self.now) for s in p.spenders[key])
+        if self.policy == "ours" and key[1] != p.zone:
+            rate = p.paces.get((key[0], p.zone), {}).get(key[1], 0.0) * p.sight.demand(self.now, key[0])
+            return p.far[key].may_go(self.now, rate)
         knowers = PROCESSES if self.policy == "even" else self.in_zone[key[1]]
         return p.gates[key].may_go(self.now, self.backends[key].rate, knowers)
 
@@ -199,7 +204,7 @@
         """Each 0.5 s: trials, the report, and the newest decision."""
         if self.policy != "ours":
             return
-        report = p.sight.report(self.now, self.members(p))
+        report = p.sight.report(self.now, self.members(p), Counter(m.destination for m in p.waiting))
         for q in self.processes[:VOTERS]:
             if q is p or self.talks(p, q):
                 self.at(self.now + self.trip(p.zone, q.zone), self.heard, q, report)
@@ -249,17 +254,19 @@
         back = [s for s in self.last.standings if s.state is State.RETURNING]
         if not back or self.now < self.leads_at + returning.TERM * (1 + returning.DRIFT) and self.leads_at:
             return
-        limits = judge.look(known, self.now).limits
+        view = judge.look(known, self.now)
         for s in back:
             key = s.destination, s.zone
             wants = {}
             for p in self.processes:
                 if p is self.leader or self.talks(p, self.leader):
                     slots = p.slots.get((s.destination, p.zone))
+                    if not judge.needs_lease(self.last, *key, p.zone):
+                        continue
                     wants[p.name] = float(sum(m.destination == s.destination and (slots[m.slot] if slots else p.zone)
                                               == s.zone for m in p.waiting))
             old = self.ledgers.get(key, returning.Ledger())
-            allowed = RULES.allowance(limits.get(key, 0.0), self.now - s.since)
+            allowed = judge.lease_room(s, view, self.now, RULES)
             self.ledgers[key] = new = returning.share_out(old, self.now, wants, allowed, RULES)
             for lease in set(new.leases) - set(old.leases):
                 p = next(p for p in self.processes if p.name == lease.holder)
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -22,7 +22,7 @@
     """A report on destination 7: which zones fail and which serve."""
     cells = [observe.Cell(7, z, 5.0, 0.0, 0.0, 0, 0.1, limit) for z in good]
     cells += [observe.Cell(7, z, 0.0, 5.0, 0.0, 5, 3.0, limit) for z in bad]
-    return observe.Report(name, zone, number, cut, 1.0, ((7, demand),), tuple(cells))
+    return observe.Report(name, zone, number, cut, 1.0, ((7, demand, 0),), tuple(cells))
 
 
 def fleet(now, bad=(), silent=(), per_zone=4, **more):
