--- a/linkdock/failover/observe.py
+++ b/linkdock/failover/observe.py
@@ -164,13 +164,14 @@
 
 
 def cut_off(cells: list[Cell], members: float) -> bool:
-    """Whether who sees this is likely cut off itself: most zones fail it at most destinations, or few members are seen.
+    """Whether who sees this is likely cut off itself: all zones fail it at most destinations, or few members are seen.
 
-    Danger: such a process sees everything dead. One zone that fails says nothing of the kind: it takes two.
+    Danger: such a process sees everything dead. It takes two zones to say so, and one that serves speaks against it:
+    were most zones enough, the second fall of two in three would silence all who see it.
     """
     zones: dict[int, list[int]] = {}
     for cell in cells:
         if cell.verdict():
             zones.setdefault(cell.zone, []).append(cell.verdict())
     failing = sum(2 * sum(v < 0 for v in verdicts) > len(verdicts) for verdicts in zones.values())
-    return members < FEW_MEMBERS or failing >= 2 and 2 * failing > len(zones)
+    return members < FEW_MEMBERS or failing >= 2 and failing == len(zones)
