--- a/linkdock/lab/processes/child.py
+++ b/linkdock/lab/processes/child.py
@@ -193,6 +193,7 @@
         say({"event": "applied", "index": index, "op": command.key if first else "", "what": type(command).__name__})
     node.watch(applied)
     known: dict[str, object] = {}
+    look = float(os.environ.get("LINKDOCK_LOOK", LOOK))   # Danger: looking is not free where cost is measured
     while True:
         stats = node.stats()
         now = {"node": stats["id"], "failed": stats["failed"], "leads": stats.get("term") if stats.get("leading")
@@ -206,7 +207,7 @@
         if known.get("leads") and not now["leads"]:
             say({"event": "follows", "term": stats.get("term"), "leader": stats.get("leader")})
         known = now
-        await asyncio.sleep(LOOK)
+        await asyncio.sleep(look)
 
 
 async def _run(wall: Wall) -> int:
