Tell a hand-over by its word and not by the clock, and give a long story's message its time

The first test asks now whether the new leader was told to stand, which is what it meant; the second hands its message in with 30 s. Both assert what they did.

--- a/tests/test_cluster_node.py
+++ b/tests/test_cluster_node.py
@@ -97,11 +97,11 @@
         assert isinstance(await node.propose(Put(f"k{n}", b"v")), Done)
     held = await nodes[1].acquire("lease", 30.0)
     assert isinstance(held, Held) and await nodes[2].acquire("lease", 30.0) == Taken(nodes[1].id, held.token)
-    gone, began = fleet.leader, time.monotonic()
+    gone = fleet.leader
     await fleet.nodes.pop(gone).close()
     left = list(fleet.nodes.values())
     assert isinstance(await left[0].propose(Put("after", b"v")), Done)
-    assert time.monotonic() - began < 0.28   # by its word, not by a time-out
+    assert [node.engine.core._handed_over for node in left if node.engine.core.leading] == [True]   # no time-out
     await until(lambda: left[0].engine.state.image() == left[1].engine.state.image())
     assert set(left[0].engine.state.register) == {"k0", "k1", "k2", "after"}
     leader = fleet.nodes[fleet.leader]
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -198,7 +198,7 @@
     assert call(program, "maint-on s9").startswith("-ERR") and call(program, "maint-off s9").startswith("-ERR")
     assert figures(program)["edge_relay_out_of_rotation"] == 2
     client = program.client()
-    assert client.enqueue("ba01") == "+OK"
+    assert client.enqueue("ba01", "order", 30000) == "+OK"   # the story may take a while on a busy machine
     tell(8, [one.row(), two.row()], whole=True)   # whatever is listed
     tell(9, [one.row("gone")])
     tell(10, [one.row()])
