Look at the window for repeats once more, right before a repeat's first byte goes out

Seen by reading: a keyed message is repeated only within its window by the decisions, but the repeat's connection may come up up to connect-timeout later, and may_go looked at deadline, drains and waits alone. With a window of 0.8 s and a dial of 1.5 s the repeat went out after its receiver had forgotten the first: an effect may double. Ruled out: the decisions (give_up_at counts from the dispatch, which is earlier than the first byte) and batches (each item is looked at). At fault: Sender.may_go. The request holds now when each attempt that may have run went out; one proven never to have run is taken out. test_races_windows fails without it.

--- a/linkdock/sender/desk.py
+++ b/linkdock/sender/desk.py
@@ -24,6 +24,7 @@
     Take,
     Withdraw,
 )
+from ..interface import Effect
 from ..protocol.calls import Backend, Call
 from ..state.journal import Kept
 from ..state.requests import Answer, Busy, Failed, Refused, Request, Taken
@@ -305,9 +306,12 @@
         elif (closed := self._b.table.closed(server, now)) is not None:
             why = closed
             log.info("dispatch of %s not sent: %s %s", item.request, server, closed)
+        elif self._window_over(request, now):
+            why = "it may have run, and the window for repeats is over"
         elif not self._b.journal.sent(item.request, item.attempt):
             why = "the journal has no room"
         else:
+            request.sent[item.attempt] = now
             if self._b.observer is not None:
                 self._b.observer.sent(server, item)
             return True
@@ -315,6 +319,12 @@
             self._b.observer.held_up(server, item, why)
         return False
 
+    def _window_over(self, request: Request, now: float) -> bool:
+        """Danger: a repeat that was decided on in time; its connection came up after the receiver forgot the first."""
+        rules = self._b.rules.settings.classes[request.cls]
+        return (rules.effect is Effect.KEYED and bool(request.sent)
+                and now > min(request.sent.values()) + rules.window)
+
     def repeatable(self, request: Request) -> bool:
         return self._b.rules.repeatable(request.cls)
 
@@ -327,6 +337,8 @@
             self._b.observer.outcome(server, item, how, elapsed, wait, over, read)
         if how in NEVER_RAN:
             self._b.journal.never(item.request, item.attempt)
+            if (request := self._b.requests.get(item.request)) is not None:
+                request.sent.pop(item.attempt, None)
         self._b.facade.report(End(item.request, item.attempt, server, how, elapsed, wait, load, over))
         if owed:
             self._ends.finish(item.request, "undeliverable", {"id": item.request, "status": "undeliverable"})
--- a/linkdock/state/requests.py
+++ b/linkdock/state/requests.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from ..errors import LinkdockError
@@ -56,6 +56,7 @@
     alone: bool = False   # whether it must not share a call any more
     answer: Callable[[Answer], bool] | None = None
     client: int = 0       # the number of the connection that it came on, for the record
+    sent: dict[int, float] = field(default_factory=dict)   # attempts that may have run: when each went out
 
 
 class Requests:
