Take a new connection that a server turns away for one that was refused, not for a call

With records: of six destinations each of 4,212 refusals was a 503 over a new connection with 'Connection: close' and no report (90 bytes), none over a kept one; their few connections lay idle at senders that hardly call. The decisions were told 'full' and slowed down; what they do where connections are scarce (close idle ones, wait by the round trip) begins with a refused connection. Ruled out: limits (those answers carry a report), outages, the sender's own time (3.4 ms to the first attempt). At fault: Call._judge, case 503.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -103,6 +103,7 @@
         self._began = backend.clock()
         self._up = False     # whether the connection was up for it
         self._sent = False   # whether the last byte is written
+        self._fresh = False    # whether it goes over a connection that nothing went over before
         self._single = True    # whether one answer counts for one item
         self._spoilt = False   # whether the answer began and did not end in time
         self._connection: Connection | None = None
@@ -208,6 +209,7 @@
         if not self.items:
             return True
         fresh = self._connection.first is None or b.kept is not None and self._connection.age < 0
+        self._fresh = fresh
         self._up, self._written_at, count = True, b.clock(), len(self.items)
         await stream.write(self._encode())
         self._sent = True
@@ -348,6 +350,10 @@
                 how = TURNED_AWAY
             case 503:
                 how = NOT_SENT if head.headers.get("x-line-busy") == "1" else TURNED_AWAY
+                if how == TURNED_AWAY and self._fresh and "close" in head.headers.get("connection", "").lower():
+                    # Danger: the server has all the connections that it takes, and a new one is no call that it
+                    # turned away: idle ones of others hold them, and a slower pace alone would never free any.
+                    how = NOT_CONNECTED
                 if self._b.kept is not None:
                     self._b.kept.told_full(self._connection, self._b.clock() - self._written_at)
             case 410:
