--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -273,9 +273,11 @@
         self._single = len(requests) == 1
         if self._single:
             headers["X-Trace-Id"] = requests[0].id
+            if requests[0].idempotency_key:
+                headers["Idempotency-Key"] = requests[0].idempotency_key
             return http.request("POST", "/v1/messages", dial, headers, requests[0].body)
         headers["Content-Type"] = "application/json"
-        body = json.dumps([{"id": r.id, "key": r.key, "body": base64.b64encode(r.body).decode()}
+        body = json.dumps([{"id": r.id, "key": r.idempotency_key or r.key, "body": base64.b64encode(r.body).decode()}
                            for r in requests], separators=(",", ":")).encode()
         return http.request("POST", "/v1/messages:batch", dial, headers, body)
 
--- a/linkdock/sender/desk.py
+++ b/linkdock/sender/desk.py
@@ -251,7 +251,7 @@
             return
         left = request.until - self._b.clock()
         kept = Kept(request.id, request.key, self._b.rules.class_names[request.cls], request.destination,
-                    time.time() + left, request.body)
+                    time.time() + left, request.body, idempotency_key=request.idempotency_key)
         if not self._b.journal.take(kept):
             self._b.requests.remove(request.id)
             self._b.facade.report(Withdraw(request.id))
--- a/linkdock/sender/lives.py
+++ b/linkdock/sender/lives.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..facade import Take, Withdraw
+from ..interface import Effect
 from ..state.journal import MOST_MOVED, Kept
 from ..state.requests import Refused, Request
 from .books import Books
@@ -56,7 +57,8 @@
                     b.observer.over(kept.id, "undeliverable", kept.until - unix)
                 continue
             rest = max(0.0, kept.until - unix)
-            request = Request(kept.id, kept.key, cls, kept.destination, now + rest, kept.body)
+            request = Request(kept.id, kept.key, cls, kept.destination, now + rest, kept.body,
+                              idempotency_key=kept.idempotency_key)
             b.requests.add(request)
             if b.figures is not None:
                 b.figures.came += 1
@@ -71,7 +73,9 @@
         b = self._b
         cls = b.rules.classes.get(message.cls)
         busy = 2 * len(b.requests) >= b.rules.settings.max_open
-        if cls is None or busy or not b.table.knows(message.destination) or b.requests.get(message.id):
+        # Danger: the store has no idempotency key, without which a server could not drop a repeat.
+        keyed = cls is not None and b.rules.settings.classes[cls].effect is Effect.KEYED
+        if cls is None or keyed or busy or not b.table.knows(message.destination) or b.requests.get(message.id):
             return False
         left = b.rules.settings.classes[cls].deadline
         kept = Kept(message.id, message.key, message.cls, message.destination, time.time() + left, message.body,
--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -45,6 +45,7 @@
     doubt: set[int] = field(default_factory=set)
     notice: dict | None = None
     again: bool = False   # sent again from the store of undeliverable messages
+    idempotency_key: str = ""
 
     def size(self) -> int:
         return len(self.body) + 256
@@ -146,6 +147,8 @@
                 "until": kept.until, "used": kept.used, "doubt": sorted(kept.doubt)}
         if kept.again:
             head["again"] = True
+        if kept.idempotency_key:
+            head["idempotency_key"] = kept.idempotency_key
         if kept.notice is not None and kept.id not in self._holds:
             return self._record(TAKE, {**head, "notice": kept.notice})   # its body is not needed any more
         if kept.notice is not None:
