Count each message against its own tenant's share, and read names in any script

By reading Frontend._ask and Facade, where Message.tenant was always 0; the decisions keep a bucket for each. Ruled out: the configuration (quotas were read) and the simulator's wire (it has the tenant). A name that is not ASCII was never found either: the list was read as latin-1, the settings are UTF-8. At fault: Frontend._ask, Facade.report for Take, Config without the tenants' names. An unknown tenant is refused; where the settings name none it is of no interest.

--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -64,6 +64,7 @@
     again: bool = False
     held: bool = False
     used: int = 0
+    tenant: int = 0
 
 
 class End(NamedTuple):
@@ -193,11 +194,11 @@
                 if self._sleeper is not None and how != "changes":
                     entries = [row for number in awake for row in self._sleeper.rows(number)]
                 self._facts.append(i.Hosts(_LISTS[how], entries, version))
-            case Take(request, cls, destination, left, key, again, held, used):
+            case Take(request, cls, destination, left, key, again, held, used, tenant):
                 self._last += 1
                 known = _Known(request, self._last, used)
                 self._known[request] = self._numbers[self._last] = known
-                self._facts.append(i.Message(self._last, cls, destination, left, 0, key, again, held, used))
+                self._facts.append(i.Message(self._last, cls, destination, left, tenant, key, again, held, used))
             case End(request, attempt, server, how, elapsed, wait, load, over):
                 known = self._known.get(request)
                 if known is None or attempt not in known.out:
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -354,7 +354,7 @@
         if not WORD.match(key) or not WORD.match(name):
             raise Refused("malformed key or id")
         told = {}
-        for pair in pairs.decode("latin-1").split(","):
+        for pair in pairs.decode("utf-8", "replace").split(","):
             what, equals, value = pair.partition("=")
             if not equals or what in told:
                 raise Refused("malformed list of names and values")
@@ -362,13 +362,13 @@
         for what in ("c", "d", "dest"):
             if what not in told:
                 raise Refused(f"{what} is missing")
-        if not WORD.match(told.get("k", "none").encode("latin-1")):
+        if not WORD.match(told.get("k", "none").encode()):
             raise Refused("malformed idempotency key")
         for what in ("d", "dest"):
             if not (told[what].isascii() and told[what].isdigit()) or len(told[what]) > 9:
                 raise Refused(f"{what} is not a whole number")
         request = Request(name.decode(), key.decode(), 0, int(told["dest"]), 0.0, body, answer=answer,
-                          idempotency_key=told.get("k", ""), client=place.number)
+                          tenant=told.get("t", ""), idempotency_key=told.get("k", ""), client=place.number)
         self._desk.ask(told["c"], int(told["dest"]), int(told["d"]) / 1000, request,
                        told.get("r") == "1", told.get("again") == "1",
                        early=place.commands == 1 and place.number <= self._early)
--- a/linkdock/sender/books.py
+++ b/linkdock/sender/books.py
@@ -28,6 +28,10 @@
     def classes(self) -> dict[str, int]:
         """The numbers by name."""
 
+    @property
+    def tenants(self) -> dict[str, int]:
+        """The numbers by name; none where traffic is nobody's."""
+
     def repeatable(self, cls: int) -> bool:
         """Whether a message of this class may be sent again though it may have run."""
 
@@ -44,6 +48,11 @@
         self.figures: Figures | None = None               # where there are operators
         self.notices: Notices
 
+    def tenant(self, name: str) -> int:
+        """The number of a tenant; one that the settings do not name has no share that it could be over."""
+        tenants = self.rules.tenants
+        return tenants.get(name, len(tenants))
+
     def order_key(self, request: Request) -> int:
         """By which messages of its class go in order; 0 where they need not. Raises Refused."""
         if not self.rules.settings.classes[request.cls].in_order:
--- a/linkdock/sender/desk.py
+++ b/linkdock/sender/desk.py
@@ -94,6 +94,10 @@
         unknown = not self._b.table.knows(destination)
         if unknown and self._b.table.told:
             raise Refused("unknown destination")
+        if request.tenant not in self._b.rules.tenants:
+            if request.tenant and self._b.rules.tenants:
+                raise Refused("unknown tenant")
+            request.tenant = ""   # nobody's, or of no interest here: nothing is kept of it
         if left > 2 * self._b.rules.settings.classes[self._b.rules.classes[cls]].deadline:
             raise Refused("d is beyond the deadline of its class")
         if early or self._b.clock() < self._fresh_from:
@@ -124,7 +128,8 @@
             return
         self._b.requests.add(request)
         self._asking[request.id] = request
-        self._b.facade.report(Take(request.id, request.cls, destination, left, key, again, held))
+        self._b.facade.report(Take(request.id, request.cls, destination, left, key, again, held,
+                                  tenant=self._b.tenant(request.tenant)))
 
     def _no_room(self, destination: int) -> Busy:
         """Turned away for want of room here, whatever the destination could do."""
@@ -251,7 +256,8 @@
             return
         left = request.until - self._b.clock()
         kept = Kept(request.id, request.key, self._b.rules.class_names[request.cls], request.destination,
-                    time.time() + left, request.body, idempotency_key=request.idempotency_key)
+                    time.time() + left, request.body, idempotency_key=request.idempotency_key,
+                    tenant=request.tenant)
         if not self._b.journal.take(kept):
             self._b.requests.remove(request.id)
             self._b.facade.report(Withdraw(request.id))
--- a/linkdock/sender/lives.py
+++ b/linkdock/sender/lives.py
@@ -58,12 +58,12 @@
                 continue
             rest = max(0.0, kept.until - unix)
             request = Request(kept.id, kept.key, cls, kept.destination, now + rest, kept.body,
-                              idempotency_key=kept.idempotency_key)
+                              tenant=kept.tenant, idempotency_key=kept.idempotency_key)
             b.requests.add(request)
             if b.figures is not None:
                 b.figures.came += 1
             b.facade.report(Take(kept.id, cls, kept.destination, rest, b.order_key(request), held=True,
-                                 used=kept.used))
+                                 used=kept.used, tenant=b.tenant(kept.tenant)))
 
     def resend(self, message: Message) -> bool:
         """Take one that could not be delivered on again, as new work with a deadline of its own; False where it cannot.
@@ -91,7 +91,7 @@
         b.requests.add(request)
         if b.figures is not None:
             b.figures.came += 1
-        b.facade.report(Take(message.id, cls, message.destination, left, key, held=True))
+        b.facade.report(Take(message.id, cls, message.destination, left, key, held=True, tenant=b.tenant("")))
         return True
 
     def hand_over(self, busy: Callable[[str], bool], give: Callable[[list[str]], bool]) -> None:
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -44,6 +44,7 @@
     class_names: list[str]
     zones: list[str]
     kinds: list[str]
+    tenant_names: list[str]
     fields: list[str]
     admin: tuple[str, int] | None = None   # the operators' address
     paid_news: bool = False                # discovery's news must be asked for, and each ask costs
@@ -53,6 +54,10 @@
     def classes(self) -> dict[str, int]:
         return {name: n for n, name in enumerate(self.class_names)}
 
+    @property
+    def tenants(self) -> dict[str, int]:
+        return {name: n for n, name in enumerate(self.tenant_names)}
+
     def repeatable(self, cls: int) -> bool:
         return self.settings.classes[cls].effect is Effect.SAFE
 
@@ -211,6 +216,7 @@
         known=_known(told.get("known")), settings=_settings(settings),
         class_names=[c.get("name", str) for c in settings.parts("grades")],
         zones=settings.get("zones", list, []), kinds=settings.get("machine-types", list, []),
+        tenant_names=[p.get("name", str) for p in settings.parts("projects", [])],
         fields=settings.part("report", {}).get("fields", list, []),
         admin=top.address("admin_addr") if top.has("admin_addr") else None,
         paid_news=settings.get("discovery", str, "") == "subscribe")
--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -46,6 +46,7 @@
     notice: dict | None = None
     again: bool = False   # sent again from the store of undeliverable messages
     idempotency_key: str = ""
+    tenant: str = ""
 
     def size(self) -> int:
         return len(self.body) + 256
@@ -147,8 +148,9 @@
                 "until": kept.until, "used": kept.used, "doubt": sorted(kept.doubt)}
         if kept.again:
             head["again"] = True
-        if kept.idempotency_key:
-            head["idempotency_key"] = kept.idempotency_key
+        for name in ("idempotency_key", "tenant"):
+            if value := getattr(kept, name):
+                head[name] = value
         if kept.notice is not None and kept.id not in self._holds:
             return self._record(TAKE, {**head, "notice": kept.notice})   # its body is not needed any more
         if kept.notice is not None:
--- a/linkdock/state/requests.py
+++ b/linkdock/state/requests.py
@@ -55,6 +55,7 @@
     body: bytes
     alone: bool = False   # whether it must not share a call any more
     answer: Callable[[Answer], bool] | None = None
+    tenant: str = ""      # whose share it counts against, where the settings name tenants
     idempotency_key: str = ""   # by which a server drops repeats, where its client named one
     client: int = 0       # the number of the connection that it came on, for the record
     sent: dict[int, float] = field(default_factory=dict)   # attempts that may have run: when each went out
--- a/tests/test_idempotency_key.py
+++ b/tests/test_idempotency_key.py
@@ -1,4 +1,4 @@
-"""The key by which a server drops repeats: it goes with each attempt, alone or among others, and outlives the process."""
+"""The key by which a server drops repeats: it goes with each attempt, alone or among others, over a restart too."""
 
 import json
 
--- a/tests/test_races_windows.py
+++ b/tests/test_races_windows.py
@@ -19,7 +19,7 @@
 
 class Rules:
     class_names = ["any"]
-    classes = {"any": 0}
+    classes, tenants = {"any": 0}, {}
 
     def __init__(self, effect):
         self.settings = Settings(classes=[MessageClass(effect, aim=1.0, deadline=6.0, window=WINDOW)],
