Count lines, not bytes, in the watch's clock of silence

Seen: a watch whose agent sends a byte now and then stayed open for ever and told nothing: half a head, a chunk's extension, spaces, a row or a line that is never whole, a line that broke off between two rows with empty lines behind it.

At fault: `Watch._watch` in protocol/discovery.py set the timer of silence anew with each read, whatever had come.

Now only what was read sets it anew: the first bytes once, each line (empty ones too), and for 60 s the rows of a line that is long, so that a large list over a slow link still gets in and one without end does not hold the watch.

Test: tests/test_races_lists.py, the real watch over a real connection on a clock of the test's own.

--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -27,6 +27,7 @@
 MOST_CHANGES = 200        # rows of a change that are handed on at once
 MOST_UNTOLD = 20_000      # rows that are held while a line has not told whether it is whole
 MOST_PASSED = 20          # rows of one line that cannot be read and are named in the log
+MOST_LINE = 60.0          # seconds for which the rows of one line count as news while they come in
 
 
 class BadRow(LinkdockError, ValueError):
@@ -214,16 +215,24 @@
             await stream.write(http.request("GET", path, self._dial))
             parser, reader = http.AnswerParser(most_body=None), ListReader()
             staging = Staging(self._desk, self._most_list, 0 if self._old else self._version())
+            lines, rows, since = -1, -1, 0.0   # so many were read; and since when the line that comes in has been
             while not parser.whole:
                 data = await stream.read_bytes(PIECE, partial=True)
-                timer.cancel()
-                timer = self._wheel.after(SILENCE, stream.close)
                 for part in parser.feed(data):
                     if isinstance(part, http.Head) and part.status != 200:
                         raise http.BadAnswer(f"status {part.status}")
                     if isinstance(part, http.Body):
                         self._served = True
                         self._take(staging, reader, part.data)
+                # Danger: bytes that come in and never make a line. Only what was read breaks the silence: a line, or
+                # for a while the rows of one that is long.
+                now = self._wheel.now
+                if reader.lines != lines:
+                    lines, rows, since = reader.lines, -1, now
+                if reader.rows != rows and now - since < MOST_LINE:
+                    rows = reader.rows
+                    timer.cancel()
+                    timer = self._wheel.after(SILENCE, stream.close)
                 # Danger: a long list that has all come in. Without a turn for others no tick runs until its end.
                 await asyncio.sleep(0)
         finally:
--- a/linkdock/protocol/listing.py
+++ b/linkdock/protocol/listing.py
@@ -53,6 +53,7 @@
         self._head = ""              # of the line, before its rows
         self._step = self._begin
         self._whole: bool | None = None
+        self.rows = self.lines = 0   # that have come so far; empty lines count, and each line's end
 
     def feed(self, data: bytes) -> list[Rows | Told]:
         try:
@@ -66,7 +67,9 @@
 
     def _begin(self, parts: list) -> bool:
         """Up to the first row. Between objects there are but line ends: empty lines say that nothing changed."""
-        text = self._text = self._text.lstrip()
+        text = self._text.lstrip()
+        self.lines += "\n" in self._text[:len(self._text) - len(text)]
+        self._text = text
         if not text:
             return False
         if text[0] != "{":
@@ -104,6 +107,7 @@
                 at = end
         finally:
             self._text = text[at:]
+            self.rows += len(rows)
             if rows:
                 parts.append(Rows(rows, self._whole))
 
@@ -116,6 +120,7 @@
         if not isinstance(version, int) or isinstance(version, bool):
             raise BadList("seq is no whole number")
         self._step, self._whole = self._begin, None
+        self.lines += 1
         parts.append(Told(bool(told.get("whole")), version))
         return True
 
--- /dev/null
+++ b/tests/test_races_lists.py
@@ -0,0 +1,249 @@
+"""Orders of events in discovery's watch: the real watch over a real connection, on a clock of the test's own."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from linkdock.protocol import http
+from linkdock.protocol.discovery import Watch
+from linkdock.state.asking import AGENT, PROMPT, SILENCE, Asking
+from linkdock.state.table import ServerTable
+from linkdock.state.wheel import Wheel
+
+PATIENCE = 10.0
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TICK = 0.05
+MOST_LINE = 60.0   # seconds for which the rows of one line keep a watch
+
+
+def row(name, **more):
+    return {"host": name, "dial": "10.0.0.1:6379", "site": "a", "class": "x", "block": 1, "health": "ready",
+            "share": 1.0, "born_ms": 0, **more}
+
+
+def line(rows, seq, whole=False, indent=None):
+    return json.dumps({"seq": seq, "whole": whole, "hosts": rows}, indent=indent).encode() + b"\n"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+class Agent:
+    """Discovery's side of each watch: the request's first line, and what the test says next."""
+
+    async def open(self):
+        self.opened = asyncio.Queue()
+        self.server = await asyncio.start_server(lambda *ends: self.opened.put_nowait(ends), "127.0.0.1", 0)
+        self.dial = self.server.sockets[0].getsockname()
+        return self
+
+    async def asked(self):
+        self.reader, self.writer = await asyncio.wait_for(self.opened.get(), PATIENCE)
+        first = await asyncio.wait_for(self.reader.readuntil(b"\r\n\r\n"), PATIENCE)
+        return first.split(b"\r\n")[0].decode()
+
+
+class Story:
+    """One watch, and the table that it tells."""
+
+    def __init__(self, patch, asking=None):
+        self.now, self.read = 100.0, 0
+        self.wheel = Wheel(0.005, self.now, lambda: self.now)
+        self.table = ServerTable([False], lambda: self.now)
+        self.table.update([], 7)
+        self.asking = asking or Asking(False, 1, 10.0, 1)
+        feed = http.AnswerParser.feed
+
+        def counted(parser, data):
+            self.read += len(data)
+            return feed(parser, data)
+        patch.setattr(http.AnswerParser, "feed", counted)
+
+    def changed(self, servers, version):
+        self.table.update(servers, self.table.version if version is None else version)
+
+    def whole(self, roster, version):
+        self.table.replace(roster, version)
+
+    def ready(self):
+        return sorted(s.name for s in self.table.roster if s.health == "ready")
+
+    @contextlib.asynccontextmanager
+    async def open(self):
+        self.agent, self.other = await Agent().open(), await Agent().open()
+        self.watch = Watch(self.agent.dial, self.wheel, self.asking, ["a"], ["x"], lambda: self.table.version, self,
+                           1 << 20)
+        running = asyncio.get_running_loop().create_task(self.watch.run())
+        await self.passed(0.01)
+        try:
+            yield
+        finally:
+            self.watch.close()
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
+            for agent in (self.agent, self.other):
+                agent.server.close()
+
+    async def turns(self):
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def passed(self, seconds):
+        end = self.now + seconds
+        await self.turns()
+        while self.now < end - 1e-9:
+            self.now = min(end, self.now + TICK)
+            self.wheel.advance(self.now)
+            await self.turns()
+
+    async def say(self, data, agent=None):
+        """Until the watch has read it all."""
+        until = self.read + len(data)
+        (agent or self.agent).writer.write(data)
+        async with asyncio.timeout(PATIENCE):
+            while self.read < until and not self.watch._stream.closed():
+                await asyncio.sleep(0)
+        await self.turns()
+
+    async def given_up(self, within):
+        """It is closed within so many seconds on the story's clock, and not a tick before."""
+        await self.passed(within - 2 * TICK)
+        assert not self.watch._stream.closed()
+        await self.passed(3 * TICK)
+        assert await asyncio.wait_for(self.agent.reader.read(), PATIENCE) == b""
+
+    async def again(self, agent=None):
+        """The next ask, at an agent's pace."""
+        await self.passed(AGENT + TICK)
+        return await (agent or self.agent).asked()
+
+
+def play(story):
+    asyncio.run(asyncio.wait_for(story, 2 * PATIENCE))
+
+
+CHANGE = line([row("s1"), row("s2")], 8)
+SAID = [b"HTTP/1.1 2", HEAD, HEAD + b"3", HEAD + chunk(b"\n"), HEAD + chunk(CHANGE[:9]), HEAD + chunk(CHANGE[:150]),
+        HEAD + chunk(CHANGE)[:-3], HEAD + chunk(CHANGE)]
+
+
+@pytest.mark.parametrize("said", [b"", *SAID])
+def test_a_watch_that_falls_silent_at_any_point_is_opened_anew_from_what_is_known(monkeypatch, said):
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            assert "from=7 " in await one.agent.asked()
+            if said:
+                await one.say(said)
+            await one.given_up(SILENCE if said else PROMPT)
+            whole = b"]}" in said
+            assert f"from={8 if whole else 7} " in await one.again()
+            await one.say(HEAD + chunk(line([row("s9")], 9, whole=True)))
+            assert one.ready() == ["s9"] and one.table.version == 9
+    play(story())
+
+
+@pytest.mark.parametrize("before, each", [
+    (b"HTTP/1.1 200 OK\r\nX: ", b"x"), (HEAD, chunk(b" ")), (HEAD + b"1;", b"x"),
+    (HEAD + chunk(CHANGE[:150]), chunk(b" ")), (HEAD + chunk(b'{"seq":8,"x":"'), chunk(b"x")),
+    (HEAD + chunk(b'{"hosts":[{},'), chunk(b"\n")),
+    (HEAD + chunk(b'{"hosts":[{"x":"'), chunk(b"x")), (HEAD + chunk(b'{"hosts":[]'), chunk(b" "))])
+def test_bytes_that_never_make_a_line_do_not_keep_a_watch(monkeypatch, before, each):
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            await one.agent.asked()
+            await one.say(before)
+            for _ in range(5):
+                await one.passed(0.5)
+                with contextlib.suppress(TimeoutError):
+                    await one.say(each)
+            await one.passed(0.4)
+            assert one.watch._stream.closed()
+            assert "from=7 " in await one.again()
+    play(story())
+
+
+def test_empty_lines_keep_a_watch_on_which_nothing_changes_and_each_change_counts(monkeypatch):
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            await one.agent.asked()
+            await one.say(HEAD)
+            for n in range(40):
+                await one.passed(2.0)
+                await one.say(chunk(b"\r\n" if n % 2 else b"\n"))
+            await one.say(chunk(CHANGE))
+            assert one.ready() == ["s1", "s2"] and one.agent.opened.empty()
+            await one.say(b"0\r\n\r\n")   # it ends cleanly
+            assert "from=8 " in await one.again()
+    play(story())
+
+
+def test_a_long_list_over_a_slow_link_gets_in_and_one_without_end_is_given_up(monkeypatch):
+    async def story():
+        one = Story(monkeypatch)
+        names = [f"s{n:02}" for n in range(20)]
+        async with one.open():
+            await one.agent.asked()
+            await one.say(HEAD)
+            data = line([row(name) for name in names], 8, whole=True)
+            for at in range(0, len(data), 120):   # a little more than half a row
+                await one.passed(1.2)
+                await one.say(chunk(data[at:at + 120]))
+            assert one.ready() == names
+            await one.say(chunk(b'{"seq":9,"whole":true,"hosts":['))
+            spent = 0.0
+            while one.agent.opened.empty():
+                await one.say(chunk(json.dumps(row("t")).encode() + b","))
+                await one.passed(2.0)
+                spent += 2.0
+                assert spent < MOST_LINE + 5.0
+            assert spent > MOST_LINE - 1.0
+            assert "from=8 " in await one.agent.asked() and one.ready() == names
+    play(story())
+
+
+@pytest.mark.parametrize("said", [None, b"", *SAID])
+def test_sighup_at_any_point_moves_the_watch_at_once_from_what_is_known(monkeypatch, said):
+    """None: while it rests between two asks; empty: connected, and nothing has come."""
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            await one.agent.asked()
+            if said is None:
+                await one.say(b"HTTP/1.1 503 Told\r\nContent-Length: 0\r\n\r\n")
+                await one.turns()
+                assert one.watch._resting is not None
+            elif said:
+                await one.say(said)
+            one.watch.move(one.other.dial)
+            await one.passed(0.01)   # a tick, and no pause
+            assert f"from={8 if said and b']}' in said else 7} " in await one.other.asked()
+            await one.say(HEAD + chunk(line([row("s9")], 9, whole=True, indent=2)), one.other)
+            assert one.ready() == ["s9"] and one.agent.opened.empty()
+    play(story())
+
+
+@pytest.mark.parametrize("down", [True, False])
+def test_discovery_that_is_down_is_asked_at_an_even_pace_and_its_news_taken_when_it_is_back(monkeypatch, down):
+    """Down it takes the connection and stays silent; else it turns the ask away."""
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            began = one.now
+            for _ in range(12):
+                await one.agent.asked()
+                if not down:
+                    await one.say(b"HTTP/1.1 503 Told\r\nContent-Length: 0\r\n\r\n")
+                await one.passed((PROMPT if down else 0.0) + AGENT - 2 * TICK)
+                assert one.agent.opened.empty()   # no sooner
+                await one.passed(4 * TICK)
+            assert one.now - began < 12 * (PROMPT + AGENT + 3 * TICK)
+            await one.agent.asked()
+            await one.say(HEAD + chunk(CHANGE))
+            assert one.ready() == ["s1", "s2"]
+    play(story())
