Hand on what came ahead of bytes that are no list, and refuse a `whole` that is no clear word

Seen: a line with a drain, and behind it in the same piece bytes that are no list: the drain was lost, and again with each watch opened anew as long as the agent said the same. `"whole": "false"` counted as true and put a list of changes in the place of the list in force, 0 and 1 in its place counted as well; a line with `whole` twice took in its rows by the first and told its version by the second, so that they were lost. A number of more than 4,300 digits ended the watch by a plain ValueError, without a code in the log.

At fault: `ListReader.feed` gave its parts back all at once, and none where it raised; `_begin` and `_tail` took whatever `whole` was by its truth and never held one against the other; `_decoded` knew no ValueError but the parser's.

Now `feed` yields what it has read before it raises BadList, and says LD-DISCOVERY-LIST for each of these.

Ruled out: indented lists with LF and CRLF cut in two at every byte, with the chunks cut elsewhere, read alike.

--- a/linkdock/protocol/listing.py
+++ b/linkdock/protocol/listing.py
@@ -9,6 +9,7 @@
 import codecs
 import json
 import re
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from ..errors import LinkdockError
@@ -55,15 +56,23 @@
         self._whole: bool | None = None
         self.rows = self.lines = 0   # that have come so far; empty lines count, and each line's end
 
-    def feed(self, data: bytes) -> list[Rows | Told]:
+    def feed(self, data: bytes) -> Iterator[Rows | Told]:
+        """Danger: bytes that are no list. What came ahead of them in the same piece counts, and is handed on first."""
+        parts: list[Rows | Told] = []
+        fault: BadList | None = None
         try:
             self._text += self._decode(data)
         except UnicodeDecodeError as bad:
-            raise BadList(f"no UTF-8: {bad}") from None
-        parts: list[Rows | Told] = []
-        while self._step(parts):
-            pass
-        return parts
+            self._text += bad.object[:bad.start].decode()
+            fault = BadList(f"no UTF-8: {bad}")
+        try:
+            while self._step(parts):
+                pass
+        except BadList as bad:
+            fault = bad
+        yield from parts
+        if fault is not None:
+            raise fault
 
     def _begin(self, parts: list) -> bool:
         """Up to the first row. Between objects there are but line ends: empty lines say that nothing changed."""
@@ -84,9 +93,11 @@
         if len(self._head) > MOST_REST:
             raise BadList("a line that is too long before its rows")
         try:
-            self._whole = json.loads(self._head + "]}").get("whole")
+            self._whole = whole = json.loads(self._head + "]}").get("whole")
         except (ValueError, RecursionError) as bad:
             raise BadList(f"no list: {bad}") from None
+        if whole is not None and not isinstance(whole, bool):
+            raise BadList("`whole` is neither true nor false")
         self._step = self._rows
         return True
 
@@ -119,9 +130,12 @@
         version = told.get("seq", 0)
         if not isinstance(version, int) or isinstance(version, bool):
             raise BadList("seq is no whole number")
+        whole = told.get("whole", False)
+        if not isinstance(whole, bool) or self._whole not in (None, whole):
+            raise BadList("`whole` is neither true nor false, or both")
         self._step, self._whole = self._begin, None
         self.lines += 1
-        parts.append(Told(bool(told.get("whole")), version))
+        parts.append(Told(whole, version))
         return True
 
     @staticmethod
@@ -133,8 +147,6 @@
         """
         try:
             return _DECODER.raw_decode(text, at)
-        except RecursionError:
-            raise BadList(f"what is nested too deep: {text[at:at + 60]!r}") from None
         except json.JSONDecodeError as bad:
             rest = text[bad.pos:].strip()
             half = (bad.msg.startswith("Unterminated") or any(word.startswith(rest) for word in _WORDS)
@@ -142,3 +154,5 @@
             if not half or "control" in bad.msg or len(text) - at > most or _EMPTY.search(text, at):
                 raise BadList(f"what cannot be read: {text[at:at + 60]!r}") from None
             return None, 0
+        except (RecursionError, ValueError):
+            raise BadList(f"what is nested too deep, or a number too long: {text[at:at + 60]!r}") from None
--- a/tests/test_races_lists.py
+++ b/tests/test_races_lists.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import json
+import random
 
 import pytest
 
 from linkdock.protocol import http
 from linkdock.protocol.discovery import Watch
+from linkdock.protocol.listing import ListReader, Rows, Told
 from linkdock.state.asking import AGENT, PROMPT, SILENCE, Asking
 from linkdock.state.table import ServerTable
 from linkdock.state.wheel import Wheel
@@ -247,3 +249,64 @@
             await one.say(HEAD + chunk(CHANGE))
             assert one.ready() == ["s1", "s2"]
     play(story())
+
+
+# --- What cannot be read.
+
+GOOD = line([row("s1", health="draining"), row("s3")], 8)
+
+
+@pytest.mark.parametrize("bad", [
+    b"no list\n", b"\xff\n", b"[1]\n", b'{"seq":9}\n', b'{"hosts":[{},}\n', b'{"seq":null,"hosts":[]}\n',
+    b'{"seq":9,"whole":"false","hosts":[]}\n', b'{"seq":9,"hosts":[],"whole":1}\n', b'{"whole":0,"hosts":[]}\n',
+    b'{"seq":9,"whole":true,"hosts":[],"whole":false}\n', b'{"hosts":[{"block":' + b"9" * 5000 + b"}]}\n",
+    b'{"seq":' + b"9" * 5000 + b',"hosts":[]}\n', b'{"hosts":[' + b"[" * 9000, b'{"seq":8,"hosts":[]}]\n'])
+def test_bytes_that_are_no_list_are_named_and_take_nothing_with_them(monkeypatch, caplog, bad):
+    async def story():
+        caplog.set_level("INFO")
+        one = Story(monkeypatch)
+        async with one.open():
+            await one.agent.asked()
+            await one.say(HEAD + chunk(line([row("s1"), row("s2")], 7, whole=True)))
+            await one.say(chunk(GOOD + bad))   # in one piece
+            assert one.ready() == ["s2", "s3"]
+            assert f"from={one.table.version} " in await one.again() and one.table.version == 8
+            await one.say(HEAD + chunk(line([row("s4")], 9)))
+            assert one.ready() == ["s2", "s3", "s4"]
+        assert sum("LD-DISCOVERY-LIST: " in r.message for r in caplog.records) == 1
+        assert not any(r.exc_info for r in caplog.records)
+    play(story())
+
+
+def test_an_endpoint_told_twice_moved_or_replaced_at_its_address_is_what_was_told_last(monkeypatch):
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            await one.agent.asked()
+            first = [row("a"), row("b", dial="10.0.0.2:1"), row("a", block=2, dial="10.0.0.3:1"), row("a", block=3)]
+            await one.say(HEAD + chunk(line(first, 8, whole=True)))
+            assert [s.name for s in one.table.roster.of(1)] == ["b"] and len(one.table.roster) == 2
+            assert [s.name for s in one.table.roster.of(3)] == ["a"] and not one.table.roster.of(2)
+            gone = row("b", health="gone")
+            await one.say(chunk(line([row("c", dial="10.0.0.2:1"), gone, gone], 9)))
+            assert [(s.name, s.dial) for s in one.table.roster.of(1)] == [("c", ("10.0.0.2", 1))]
+            await one.say(chunk(line([row("c", health="gone"), row("c", block=4, dial="10.0.0.4:2")], 10)))
+            assert one.table.row("c").dial == ("10.0.0.4", 2) and len(one.table.roster) == 2 and one.table.knows(1)
+    play(story())
+
+
+@pytest.mark.parametrize("end", [b"\n", b"\r\n"])
+def test_an_indented_list_is_read_alike_wherever_it_and_its_chunks_are_cut(end):
+    rows = [row("ж}]", dial="10.0.0.1:1"), row("b", share=0.5)]
+    text = json.dumps({"seq": 8, "whole": True, "hosts": rows}, indent=2, ensure_ascii=False).encode()
+    text = text.replace(b"\n", end) + end + end + line([], 9)
+    luck = random.Random(5)
+    for cut in range(len(text)):
+        data = HEAD + chunk(text[:cut]) * bool(cut) + chunk(text[cut:])
+        at, parser, reader, parts = luck.randrange(len(data)), http.AnswerParser(most_body=None), ListReader(), []
+        for piece in (data[:at], data[at:]):
+            for part in parser.feed(piece):
+                if isinstance(part, http.Body):
+                    parts += reader.feed(part.data)
+        assert [r for part in parts if isinstance(part, Rows) for r in part.rows] == rows
+        assert [part for part in parts if isinstance(part, Told)] == [Told(True, 8), Told(False, 9)]
