Pass over an entry of a list that would fail later and take its whole list with it

Seen: an entry whose `host` cannot be written as UTF-8 ("\ud800") ended the watch in the middle of its list, for ever anew: behind it a drain went unheard and the message went to the server that drains (a story over real connections). A `dial` that no socket takes ("a\0b:80") ended each call to it by a TypeError, a failed task in the log. An empty `host` took the name that a row had before; `"block": 1.5` went to destination 1; a share that is no number was taken. Besides, each 2 KB of a list named up to 20 bad entries in the log: 500 of 500, where 20 a line are meant.

At fault: `read_row` let through what only fails in `Roster._add` (encode), in `IOStream.connect` or in the decisions' comparisons, where nothing passes over one entry; `read_rows` counted what it named by piece.

Now `read_row` refuses these (LD-DISCOVERY-ROW), and the count runs on to the line's end.

Ruled out: endpoints told twice, moved to another destination or address, replaced under a new id at the same address: the last word counts (tested).

--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -28,6 +28,7 @@
 MOST_UNTOLD = 20_000      # rows that are held while a line has not told whether it is whole
 MOST_PASSED = 20          # rows of one line that cannot be read and are named in the log
 MOST_LINE = 60.0          # seconds for which the rows of one line count as news while they come in
+MOST_FIGURE = 1e38        # of a share or a time
 
 
 class BadRow(LinkdockError, ValueError):
@@ -48,7 +49,12 @@
 
 def read_row(row: object, zones: list[str], kinds: list[str]) -> Server:
     """One line of a list. Raises ValueError, KeyError, TypeError or AttributeError for one that cannot be read."""
+    name = str(row["host"])
     address, _, port = row["dial"].rpartition(":")
+    # Danger: what only fails later, in the table or when it is connected to, takes the rest of its list with it.
+    if not name or not address.isprintable() or not address.isascii() or not address:
+        raise BadRow(f"host {name!r:.60}, dial {address!r:.60}")
+    name.encode()
     health = row["health"]
     if health not in ("ready", "draining", "gone"):
         raise BadRow(f"health {health!r}")
@@ -56,18 +62,21 @@
     if not 0 <= number <= 65535:
         raise BadRow(f"port {port}")
     destination = int(row["block"])
-    if not -(1 << 63) <= destination < 1 << 63:
-        raise BadRow(f"block {destination}")
+    if not -(1 << 63) <= destination < 1 << 63 or isinstance(row["block"], float) and destination != row["block"]:
+        raise BadRow(f"block {row['block']}")
+    share, born = float(row.get("share", 1.0)), float(row.get("born_ms", 0)) / 1000
+    if not (abs(share) < MOST_FIGURE and abs(born) < MOST_FIGURE):
+        raise BadRow(f"share {share}, born {born}")
     return Server(
-        str(row["host"]), (address, number), destination, health,
+        name, (address, number), destination, health,
         kinds.index(row["class"]) if row["class"] in kinds else 0,
         zones.index(row["site"]) if row["site"] in zones else 0,
-        float(row.get("share", 1.0)), float(row.get("born_ms", 0)) / 1000)
+        share, born)
 
 
-def read_rows(rows: Iterable[object], zones: list[str], kinds: list[str]) -> list[Server]:
-    """The rows that can be read; the log names those that cannot."""
-    servers, passed = [], 0
+def read_rows(rows: Iterable[object], zones: list[str], kinds: list[str], passed: int = 0) -> list[Server]:
+    """The rows that can be read; the log names those that cannot, the first of a line: so many were `passed` before."""
+    servers: list[Server] = []
     for row in rows:
         try:
             servers.append(read_row(row, zones, kinds))
@@ -75,8 +84,8 @@
             passed += 1
             if passed <= MOST_PASSED:
                 log.warning("discovery: %s", log_line(BadRow(f"a line was passed over: {row!r:.200}: {bad}")))
-    if passed > MOST_PASSED:
-        log.warning("discovery: %d lines were passed over in all", passed)
+            elif passed == MOST_PASSED + 1:
+                log.warning("discovery: more lines were passed over, which are not named")
     return servers
 
 
@@ -114,6 +123,7 @@
     def __init__(self, desk: Desk, most: int, oldest: int = 0) -> None:
         """A whole list before the version `oldest` is no news."""
         self._desk, self._most, self._oldest = desk, most, oldest
+        self.passed = 0   # rows of this line that could not be read
         self._roster: Roster | None = None
         self._untold: list[Server] = []
         self._count, self._refused = 0, False
@@ -154,7 +164,7 @@
                 self._desk.whole(self._roster or Roster(), version)
             else:
                 self._desk.changed([], version)
-        self._roster, self._count, self._refused = None, 0, False
+        self._roster, self._count, self._refused, self.passed = None, 0, False, 0
 
 
 class Watch:
@@ -241,7 +251,9 @@
     def _take(self, staging: Staging, reader: ListReader, data: bytes) -> None:
         for part in reader.feed(data):
             if isinstance(part, Rows):
-                staging.rows(read_rows(part.rows, self._zones, self._kinds), part.whole)
+                servers = read_rows(part.rows, self._zones, self._kinds, staging.passed)
+                staging.passed += len(part.rows) - len(servers)
+                staging.rows(servers, part.whole)
             else:
                 staging.told(part.whole, part.version)
                 self._old, self.told = False, True
--- a/tests/test_races_lists.py
+++ b/tests/test_races_lists.py
@@ -278,6 +278,37 @@
     play(story())
 
 
+@pytest.mark.parametrize("more", [
+    {"host": "\ud800"}, {"host": ""}, {"dial": "\ud800:80"}, {"dial": "a\0b:80"}, {"dial": ":80"}, {"dial": "ж:80"},
+    {"dial": 7}, {"dial": "10.0.0.1"}, {"block": 1.5}, {"block": float("nan")}, {"block": None}, {"health": "well"},
+    {"share": float("nan")}, {"share": 1e300}, {"born_ms": float("inf")}, {"share": None}, {"share": 10 ** 400}])
+@pytest.mark.parametrize("whole", [True, False])
+def test_an_entry_that_cannot_be_read_takes_no_other_with_it(monkeypatch, caplog, more, whole):
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            await one.agent.asked()
+            rows = [row("s1", health="draining"), row("bad", **more), row("s2")]
+            await one.say(HEAD + chunk(line(rows, 8, whole)))
+            assert one.ready() == ["s2"] and one.table.version == 8 and one.table.row("s1").health == "draining"
+            await one.say(chunk(line([row("s3")], 9)))   # on the same watch
+            assert one.ready() == ["s2", "s3"] and one.agent.opened.empty()
+        assert sum("LD-DISCOVERY-ROW: " in r.message for r in caplog.records) == 1
+    play(story())
+
+
+def test_a_long_list_of_entries_that_cannot_be_read_does_not_flood_the_log(monkeypatch, caplog):
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            await one.agent.asked()
+            for seq, head in ((8, HEAD), (9, b"")):
+                await one.say(head + chunk(line([row(f"s{n}", health="well") for n in range(500)], seq)))
+                assert one.table.version == seq
+                assert len([r for r in caplog.records if "passed over" in r.message]) <= 21 * (seq - 7)
+    play(story())
+
+
 def test_an_endpoint_told_twice_moved_or_replaced_at_its_address_is_what_was_told_last(monkeypatch):
     async def story():
         one = Story(monkeypatch)
