Take back the rest that SIGHUP set when the one before had just rung

Seen: the timer of the watch's rest has rung, and before the watch wakes up SIGHUP moves it. `move` takes it for resting still and sets a timer of its own; the watch asks at the new address at once, and that timer rings in a later rest, which it cuts short: a discovery whose asks cost is asked again before its pause after a refusal is over.

At fault: `Watch._rest` gave up its hold on the timer without taking it back.

Test: tests/test_races_lists.py forces the order (the wheel rings, `move` comes before the loop's next turn); without the line the ask comes within 4.5 of 5 s: "assert False, where False = empty()".

--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -212,6 +212,7 @@
         self._rested.clear()
         self._resting = self._wheel.after(seconds, self._rested.set)
         await self._rested.wait()
+        self._resting.cancel()   # Danger: `move` has set another since it rang, which would cut a later rest short
         self._resting = None
 
     async def _watch(self) -> None:
--- a/tests/test_races_lists.py
+++ b/tests/test_races_lists.py
@@ -230,6 +230,40 @@
     play(story())
 
 
+class Paced:
+    """An asking whose pauses are the test's."""
+
+    def __init__(self, moved, again):
+        self.moved, self.again = lambda: moved, lambda served: again
+
+    def first(self):
+        return 0.0
+
+    def patience(self):
+        return SILENCE
+
+
+def test_an_address_that_moves_as_a_rest_rings_cuts_no_later_rest_short(monkeypatch):
+    async def story():
+        one = Story(monkeypatch, Paced(moved=1.0, again=5.0))
+        async with one.open():
+            await one.agent.asked()
+            await one.say(b"HTTP/1.1 503 Told\r\nContent-Length: 0\r\n\r\n")
+            await one.passed(5.0 - TICK)
+            one.now += 2 * TICK
+            one.wheel.advance(one.now)      # it rings, and before the watch wakes up
+            one.watch.move(one.other.dial)  # the signal comes
+            await one.turns()
+            await one.other.asked()
+            await one.say(b"HTTP/1.1 503 Told\r\nContent-Length: 0\r\n\r\n", one.other)
+            await one.passed(4.5)
+            await one.turns()
+            assert one.other.opened.empty()
+            await one.passed(1.0)
+            await one.other.asked()
+    play(story())
+
+
 @pytest.mark.parametrize("down", [True, False])
 def test_discovery_that_is_down_is_asked_at_an_even_pace_and_its_news_taken_when_it_is_back(monkeypatch, down):
     """Down it takes the connection and stays silent; else it turns the ask away."""
