Hold a whole list against the version that is known by then, not at the watch's begin

Seen: a watch that began from 7 and has told changes up to 12 told a whole list of version 11: it was put in force, and brought back what drains. A list of that kind as the first word of a watch is passed over once (LD-DISCOVERY-OLD).

At fault: `Staging` was given the version at the watch's begin and kept it.

Ruled out: discovery that has begun anew with smaller numbers is believed when it says so again, 0.2 s later for an agent; a whole list amid changes that is no older replaces what is in force.

Test: tests/test_races_lists.py; on the version before ['b', 'c'] stood where ['c'] must.

--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -120,9 +121,8 @@
 class Staging:
     """One line while it comes in: a whole list is built beside the one in force, changes are handed on."""
 
-    def __init__(self, desk: Desk, most: int, oldest: int = 0) -> None:
-        """A whole list before the version `oldest` is no news."""
-        self._desk, self._most, self._oldest = desk, most, oldest
+    def __init__(self, desk: Desk, most: int) -> None:
+        self._desk, self._most = desk, most
         self.passed = 0   # rows of this line that could not be read
         self._roster: Roster | None = None
         self._untold: list[Server] = []
@@ -153,13 +153,14 @@
         log.error("discovery: %s", log_line(LongList(f"a whole list was refused: {why}; the list in force stays")))
         self._refused, self._roster, self._untold = True, None, []
 
-    def told(self, whole: bool, version: int) -> None:
+    def told(self, whole: bool, version: int, oldest: float = -inf) -> None:
+        """The line's end. A whole list before the version `oldest` is no news."""
         untold, self._untold = self._untold, []
         if untold:
             self.rows(untold, whole)
         if not self._refused:
-            if whole and version < self._oldest:
-                raise OldList(f"a whole list of version {version} is older than {self._oldest}")
+            if whole and version < oldest:
+                raise OldList(f"a whole list of version {version} is older than {oldest}")
             if whole:
                 self._desk.whole(self._roster or Roster(), version)
             else:
@@ -225,7 +226,7 @@
             path = f"/api/targets?watch=1&from={self._version()}"
             await stream.write(http.request("GET", path, self._dial))
             parser, reader = http.AnswerParser(most_body=None), ListReader()
-            staging = Staging(self._desk, self._most_list, 0 if self._old else self._version())
+            staging = Staging(self._desk, self._most_list)
             lines, rows, since = -1, -1, 0.0   # so many were read; and since when the line that comes in has been
             while not parser.whole:
                 data = await stream.read_bytes(PIECE, partial=True)
@@ -256,7 +257,7 @@
                 staging.passed += len(part.rows) - len(servers)
                 staging.rows(servers, part.whole)
             else:
-                staging.told(part.whole, part.version)
+                staging.told(part.whole, part.version, -inf if self._old else self._version())
                 self._old, self.told = False, True
 
     def move(self, dial: tuple[str, int]) -> None:
--- a/tests/test_races_lists.py
+++ b/tests/test_races_lists.py
@@ -264,6 +264,24 @@
     play(story())
 
 
+def test_a_whole_list_amid_changes_counts_and_an_older_one_only_when_it_is_told_again(monkeypatch, caplog):
+    async def story():
+        one = Story(monkeypatch)
+        async with one.open():
+            await one.agent.asked()
+            await one.say(HEAD + chunk(line([row("a"), row("b")], 9)))
+            await one.say(chunk(line([row("b"), row("c")], 10, whole=True)))
+            await one.say(chunk(line([row("b", health="draining")], 12)))
+            assert one.ready() == ["c"] and one.table.version == 12
+            older = chunk(line([row("b"), row("c")], 11, whole=True))
+            await one.say(older)   # than what this watch has told, not than what it began from
+            assert one.ready() == ["c"] and "from=12 " in await one.again()
+            await one.say(HEAD + older)
+            assert one.ready() == ["b", "c"] and one.table.version == 11
+        assert sum("LD-DISCOVERY-OLD" in r.message for r in caplog.records) == 1
+    play(story())
+
+
 @pytest.mark.parametrize("down", [True, False])
 def test_discovery_that_is_down_is_asked_at_an_even_pace_and_its_news_taken_when_it_is_back(monkeypatch, down):
     """Down it takes the connection and stays silent; else it turns the ask away."""
