--- a/linkdock/protocol/discovery.py
+++ b/linkdock/protocol/discovery.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 from collections.abc import Callable, Iterable
+from math import inf
 from typing import Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -27,6 +28,8 @@
 MOST_CHANGES = 200        # rows of a change that are handed on at once
 MOST_UNTOLD = 20_000      # rows that are held while a line has not told whether it is whole
 MOST_PASSED = 20          # rows of one line that cannot be read and are named in the log
+MOST_LINE = 60.0          # seconds for which the rows of one line count as news while they come in
+MOST_FIGURE = 1e38        # of a share or a time
 
 
 class BadRow(LinkdockError, ValueError):
@@ -47,7 +50,12 @@
 
 def read_row(row: object, zones: list[str], kinds: list[str]) -> Server:
     """One line of a list. Raises ValueError, KeyError, TypeError or AttributeError for one that cannot be read."""
+    name = str(row["host"])
     address, _, port = row["dial"].rpartition(":")
+    # Danger: what only fails later, in the table or when it is connected to, takes the rest of its list with it.
+    if not name or not address.isprintable() or not address.isascii() or not address:
+        raise BadRow(f"host {name!r:.60}, dial {address!r:.60}")
+    name.encode()
     health = row["health"]
     if health not in ("ready", "draining", "gone"):
         raise BadRow(f"health {health!r}")
@@ -55,18 +63,21 @@
     if not 0 <= number <= 65535:
         raise BadRow(f"port {port}")
     destination = int(row["block"])
-    if not -(1 << 63) <= destination < 1 << 63:
-        raise BadRow(f"block {destination}")
+    if not -(1 << 63) <= destination < 1 << 63 or isinstance(row["block"], float) and destination != row["block"]:
+        raise BadRow(f"block {row['block']}")
+    share, born = float(row.get("share", 1.0)), float(row.get("born_ms", 0)) / 1000
+    if not (abs(share) < MOST_FIGURE and abs(born) < MOST_FIGURE):
+        raise BadRow(f"share {share}, born {born}")
     return Server(
-        str(row["host"]), (address, number), destination, health,
+        name, (address, number), destination, health,
         kinds.index(row["class"]) if row["class"] in kinds else 0,
         zones.index(row["site"]) if row["site"] in zones else 0,
-        float(row.get("share", 1.0)), float(row.get("born_ms", 0)) / 1000)
+        share, born)
 
 
-def read_rows(rows: Iterable[object], zones: list[str], kinds: list[str]) -> list[Server]:
-    """The rows that can be read; the log names those that cannot."""
-    servers, passed = [], 0
+def read_rows(rows: Iterable[object], zones: list[str], kinds: list[str], passed: int = 0) -> list[Server]:
+    """The rows that can be read; the log names those that cannot, the first of a line: so many were `passed` before."""
+    servers: list[Server] = []
     for row in rows:
         try:
             servers.append(read_row(row, zones, kinds))
@@ -74,8 +85,8 @@
             passed += 1
             if passed <= MOST_PASSED:
                 log.warning("discovery: %s", log_line(BadRow(f"a line was passed over: {row!r:.200}: {bad}")))
-    if passed > MOST_PASSED:
-        log.warning("discovery: %d lines were passed over in all", passed)
+            elif passed == MOST_PASSED + 1:
+                log.warning("discovery: more lines were passed over, which are not named")
     return servers
 
 
@@ -110,9 +121,9 @@
 class Staging:
     """One line while it comes in: a whole list is built beside the one in force, changes are handed on."""
 
-    def __init__(self, desk: Desk, most: int, oldest: int = 0) -> None:
-        """A whole list before the version `oldest` is no news."""
-        self._desk, self._most, self._oldest = desk, most, oldest
+    def __init__(self, desk: Desk, most: int) -> None:
+        self._desk, self._most = desk, most
+        self.passed = 0   # rows of this line that could not be read
         self._roster: Roster | None = None
         self._untold: list[Server] = []
         self._count, self._refused = 0, False
@@ -142,18 +153,19 @@
         log.error("discovery: %s", log_line(LongList(f"a whole list was refused: {why}; the list in force stays")))
         self._refused, self._roster, self._untold = True, None, []
 
-    def told(self, whole: bool, version: int) -> None:
+    def told(self, whole: bool, version: int, oldest: float = -inf) -> None:
+        """The line's end. A whole list before the version `oldest` is no news."""
         untold, self._untold = self._untold, []
         if untold:
             self.rows(untold, whole)
         if not self._refused:
-            if whole and version < self._oldest:
-                raise OldList(f"a whole list of version {version} is older than {self._oldest}")
+            if whole and version < oldest:
+                raise OldList(f"a whole list of version {version} is older than {oldest}")
             if whole:
                 self._desk.whole(self._roster or Roster(), version)
             else:
                 self._desk.changed([], version)
-        self._roster, self._count, self._refused = None, 0, False
+        self._roster, self._count, self._refused, self.passed = None, 0, False, 0
 
 
 class Watch:
@@ -201,6 +213,7 @@
         self._rested.clear()
         self._resting = self._wheel.after(seconds, self._rested.set)
         await self._rested.wait()
+        self._resting.cancel()   # Danger: `move` has set another since it rang, which would cut a later rest short
         self._resting = None
 
     async def _watch(self) -> None:
@@ -213,17 +226,25 @@
             path = f"/api/targets?watch=1&from={self._version()}"
             await stream.write(http.request("GET", path, self._dial))
             parser, reader = http.AnswerParser(most_body=None), ListReader()
-            staging = Staging(self._desk, self._most_list, 0 if self._old else self._version())
+            staging = Staging(self._desk, self._most_list)
+            lines, rows, since = -1, -1, 0.0   # so many were read; and since when the line that comes in has been
             while not parser.whole:
                 data = await stream.read_bytes(PIECE, partial=True)
-                timer.cancel()
-                timer = self._wheel.after(SILENCE, stream.close)
                 for part in parser.feed(data):
                     if isinstance(part, http.Head) and part.status != 200:
                         raise http.BadAnswer(f"status {part.status}")
                     if isinstance(part, http.Body):
                         self._served = True
                         self._take(staging, reader, part.data)
+                # Danger: bytes that come in and never make a line. Only what was read breaks the silence: a line, or
+                # for a while the rows of one that is long.
+                now = self._wheel.now
+                if reader.lines != lines:
+                    lines, rows, since = reader.lines, -1, now
+                if reader.rows != rows and now - since < MOST_LINE:
+                    rows = reader.rows
+                    timer.cancel()
+                    timer = self._wheel.after(SILENCE, stream.close)
                 # Danger: a long list that has all come in. Without a turn for others no tick runs until its end.
                 await asyncio.sleep(0)
         finally:
@@ -232,9 +253,11 @@
     def _take(self, staging: Staging, reader: ListReader, data: bytes) -> None:
         for part in reader.feed(data):
             if isinstance(part, Rows):
-                staging.rows(read_rows(part.rows, self._zones, self._kinds), part.whole)
+                servers = read_rows(part.rows, self._zones, self._kinds, staging.passed)
+                staging.passed += len(part.rows) - len(servers)
+                staging.rows(servers, part.whole)
             else:
-                staging.told(part.whole, part.version)
+                staging.told(part.whole, part.version, -inf if self._old else self._version())
                 self._old, self.told = False, True
 
     def move(self, dial: tuple[str, int]) -> None:
