Take a call for sent as soon as its last byte is written, not when the loop comes back to it

Seen by reading: `Call._sent` was set by the coroutine that waits for the write. A large request is written in pieces; its last piece goes out while the loop handles the socket, and the coroutine runs a turn later. A cancel, a time-out or the end of the process in between ended the attempt as `not sent` or `not connected`. That is a proof on record that it never ran, and an unrepeatable message went out again though the server had the whole of it. At fault: Call._exchange (`_sent = True` after the await), used by `cancel`, `_late` and the end of `run`. `_sent` now asks the write itself; where the wait for it was cancelled, the stream. test_races_endpoints fails without it: three cases end as `not sent`, `not connected`, `not connected`.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -5,7 +5,7 @@
 import base64
 import json
 import logging
-import re
+from asyncio import Future
 from collections.abc import Callable
 from math import inf
 from typing import TYPE_CHECKING, Protocol
@@ -33,7 +33,6 @@
 MARGIN = 0.05          # seconds before the told end of a call at which it is given up
 NO_ROOM_PAUSE = 0.05   # seconds until a connection is tried again that there was no room for
 REST_OF_ANSWER = 0.5   # seconds that an answer may take from its first byte to its last
-NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,12})?\Z")
 STATES = {"done": DELIVERED, "failed": ERROR, "busy": TURNED_AWAY, "void": NOT_SENT, "used_up": NOT_SENT}
 
 
@@ -75,7 +74,7 @@
         told: dict[str, float] = {}
         for part in headers.get("endpoint-load-metrics", "").split(","):
             name, _, value = part.partition("=")
-            name, number = name.strip(), _number(value)
+            name, number = name.strip(), http.number(value)
             if name in self.fields:
                 # Danger: half a report would pass for one of a limit that is used up, or of none.
                 if number is None or name in told or name == "x0" and number > 1:
@@ -86,12 +85,6 @@
         return told.get("x0", 0.0), told.get("x1", 0.0)
 
 
-def _number(text: str) -> float | None:
-    """A number as the protocol writes it, or None. Danger: `float` also takes `nan`, `1_0` and `1e300`."""
-    text = text.strip()
-    return float(text) if NUMBER.match(text) else None
-
-
 class Call:
     """One dispatch. It owns its connection while it runs, and ends each of its items once."""
 
@@ -101,8 +94,7 @@
         self.items = {item.request: item for item in order.items}   # without an outcome yet
         self._given_up: set[str] = set()
         self._began = backend.clock()
-        self._up = False     # whether the connection was up for it
-        self._sent = False   # whether the last byte is written
+        self._writing: Future | None = None   # of its bytes, from the first on
         self._fresh = False    # whether it goes over a connection that nothing went over before
         self._single = True    # whether one answer counts for one item
         self._spoilt = False   # whether the answer began and did not end in time
@@ -119,6 +111,16 @@
             r: backend.wheel.after(max(limit - MARGIN, limit / 2), lambda r=r: self._late(r))
             for r, limit in self._limits.items()}
 
+    @property
+    def _sent(self) -> bool:
+        """Whether the last byte is written, also where the loop has not come back to `_exchange` since.
+
+        Danger: a proof that is none. At the process's end the wait for the write is cancelled, not the write.
+        """
+        write = self._writing
+        return write is not None and write.done() and (
+            not self._connection.stream.writing() if write.cancelled() else write.exception() is None)
+
     # --- Ends.
 
     def _end(self, request: str, how: str, **more) -> None:
@@ -173,7 +175,7 @@
             if self._spoilt:   # else by the other side, or by giving up
                 log.warning("backend server %s: an answer without end", self.server)
                 how = ERROR
-            elif self._up and self.items and not self._parser.read and self._b.kept is not None:
+            elif self._writing is not None and self.items and not self._parser.read and self._b.kept is not None:
                 self._b.kept.used(self._connection, False)   # given up by nobody here, and nothing came on it
         except http.BadAnswer as bad:
             log.warning("backend server %s: %s", self.server, log_line(bad))
@@ -210,9 +212,9 @@
             return True
         fresh = self._connection.first is None or b.kept is not None and self._connection.age < 0
         self._fresh = fresh
-        self._up, self._written_at, count = True, b.clock(), len(self.items)
-        await stream.write(self._encode())
-        self._sent = True
+        self._written_at, count = b.clock(), len(self.items)
+        self._writing = stream.write(self._encode())
+        await self._writing
         if b.figures is not None:
             b.figures.relayed += count
         if b.observer is not None:
@@ -331,7 +333,7 @@
 
     def _said(self, head: http.Head) -> dict:
         """What every answer may tell besides its outcome: a wait and a load report."""
-        wait = _number(head.headers.get("retry-after", "")) or 0.0
+        wait = http.number(head.headers.get("retry-after", "")) or 0.0
         if wait:
             route = self._b.table.told_wait(self._row, self._b.clock() + wait)
             if self._b.observer is not None:
--- a/linkdock/protocol/http.py
+++ b/linkdock/protocol/http.py
@@ -13,6 +13,7 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-9][0-9]{2})(?: [^\r\n]*)?\Z")
 HEADER = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n\0]*?)[ \t]*\Z")
 LENGTH = re.compile(r"[0-9]{1,12}\Z", re.ASCII)
+NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,12})?\Z")
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?\Z")
 
 
@@ -52,6 +53,12 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
 
 
+def number(text: str) -> float | None:
+    """A number as the protocol writes it, or None. Danger: `float` also takes `nan`, `1_0` and `1e300`."""
+    text = text.strip()
+    return float(text) if NUMBER.match(text) else None
+
+
 class AnswerParser:
     """Reads one answer: feed it bytes, get `Head`, `Body` and `Whole` in turn.
 
--- /dev/null
+++ b/tests/test_races_endpoints.py
@@ -0,0 +1,149 @@
+"""Races on connections to backend servers: what comes between two steps of a call, forced every time."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from linkdock.connections import pool as pools
+from linkdock.connections.pool import ConnectionPool
+from linkdock.facade import CANCELLED, NOT_SENT, RESET, TIMED_OUT, Dispatch, Item, Server
+from linkdock.protocol.calls import Backend, Call
+from linkdock.state.requests import Request
+from linkdock.state.table import ServerTable
+from linkdock.state.wheel import Wheel
+
+
+class Desk:
+    """It lets everything go and notes the ends; `looked` is called at the last look before the first byte."""
+
+    def __init__(self):
+        self.ends, self.looked = [], lambda: True
+
+    def may_go(self, server, item):
+        return self.looked()
+
+    def ended(self, server, item, how, elapsed, *more, **told):
+        self.ends.append(how)
+
+    def repeatable(self, request):
+        return False
+
+    def delivered_late(self, request, due):
+        self.ends.append(f"late {request}")
+
+
+class Rig:
+    """Real calls to one listening socket, whose accepted connections the test reads and writes itself."""
+
+    def __init__(self, small=False):
+        self.loop, self.desk = asyncio.get_running_loop(), Desk()
+        self.sock = socket.socket()
+        if small:   # a large request does not fit in what the system holds back
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        self.sock.bind(("127.0.0.1", 0))
+        self.sock.listen(8)
+        self.sock.setblocking(False)
+        self.table = ServerTable([False], self.loop.time)
+        self.table.update([Server("s1", self.sock.getsockname(), 1)], 1)
+        self.wheel = Wheel(0.005, self.loop.time(), self.loop.time)
+        self.pool = ConnectionPool(self.wheel, 4.0, 10)
+        self.backend = Backend(self.desk, self.table, self.pool, self.wheel, self.loop.time, 1.5, [])
+        self.beat, self.made = self.loop.create_task(self._advance()), 0
+
+    async def _advance(self):
+        while True:
+            self.wheel.advance(self.loop.time())
+            await asyncio.sleep(self.wheel.tick)
+
+    def call(self, *bodies, limit=9.0):
+        """A call and the task that it runs in."""
+        requests = [Request(f"aa{self.made + n:02}", "0", 0, 1, self.loop.time() + limit, body)
+                    for n, body in enumerate(bodies)]
+        self.made += len(bodies)
+        call = Call(self.backend, Dispatch("s1", [Item(r.id, 0, limit) for r in requests]), requests)
+        return call, self.loop.create_task(call.run())
+
+    async def accept(self):
+        return (await asyncio.wait_for(self.loop.sock_accept(self.sock), 20))[0]
+
+    async def request(self, sock):
+        """The whole of a request; b"" when the other side closed."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = await asyncio.wait_for(self.loop.sock_recv(sock, 65536), 20)
+            if not more:
+                return b""
+            data += more
+        head, _, body = data.partition(b"\r\n\r\n")
+        size = int(head.partition(b"Content-Length: ")[2].split(b"\r\n")[0])
+        while len(body) < size:
+            body += await asyncio.wait_for(self.loop.sock_recv(sock, 65536), 20)
+        return head + b"\r\n\r\n" + body
+
+    async def until(self, holds):
+        async with asyncio.timeout(20):
+            while not holds():
+                await asyncio.sleep(0)
+
+
+@contextlib.asynccontextmanager
+async def rig(**more):
+    made = Rig(**more)
+    yield made
+    made.beat.cancel()
+    made.pool.close()
+    assert not len(made.pool)   # whatever happened, each connection was given back once
+    made.sock.close()
+
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.fixture
+def small_buffers(monkeypatch):
+    def made(real=pools.new_stream):
+        stream = real()
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+        return stream
+    monkeypatch.setattr(pools, "new_stream", made)
+
+
+@pytest.mark.parametrize("what, how", [("cancel", CANCELLED), ("late", TIMED_OUT), ("end of the process", RESET)])
+def test_a_call_given_up_right_after_its_last_byte_may_have_run(small_buffers, what, how):
+    """Between the write of the last byte and the turn of the loop in which the call hears of it."""
+    async def story():
+        async with rig(small=True) as r:
+            call, run = r.call(b"x" * 2_000_000)
+            sock = await r.accept()
+            await r.until(lambda: call._connection is not None and call._connection.stream.writing())
+            stream = call._connection.stream
+            real, given_up = stream._handle_write, []
+
+            def handle_write():
+                real()
+                if not stream.writing() and not given_up:
+                    given_up.append(True)
+                    {"cancel": lambda: call.cancel("aa00"), "late": lambda: call._late("aa00"),
+                     "end of the process": run.cancel}[what]()
+            stream._handle_write = handle_write
+            assert len(await r.request(sock)) > 2_000_000   # the server has the whole of it, and begins
+            with contextlib.suppress(asyncio.CancelledError):
+                await run
+            assert given_up and r.desk.ends == [how]
+            sock.close()
+    asyncio.run(story())
+
+
+def test_a_call_given_up_before_its_last_byte_never_ran(small_buffers):
+    async def story():
+        async with rig(small=True) as r:
+            call, run = r.call(b"x" * 2_000_000)
+            sock = await r.accept()
+            await r.until(lambda: call._connection is not None and call._connection.stream.writing())
+            call.cancel("aa00")
+            await run
+            assert r.desk.ends == [NOT_SENT]
+            sock.close()
+    asyncio.run(story())
