Give the answer its own half second: a 1xx answer in pieces ahead of it does not begin it

Seen by a scripted server: `HTTP/1.1 103 ...` that arrives in two reads starts the timer for the rest of the answer, and the timer stays when the 1xx answer turns out to be none. A call that then takes longer than 0.5 s is given up as a spoilt answer: an order ends by a notice, a preview goes out once more.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -315,7 +315,10 @@
                     if head is not None:
                         self._judge(head, body)
                     self._delivered()
-                if timer is None and parser.begun:
+                if timer is not None and not parser.begun:
+                    timer.cancel()   # what had begun was a 1xx answer in pieces, and the one to the call is to come
+                    timer = None
+                elif timer is None and parser.begun:
                     timer = self._b.wheel.after(REST_OF_ANSWER, self._without_end)
         finally:
             if timer is not None:
--- a/tests/test_races_endpoints.py
+++ b/tests/test_races_endpoints.py
@@ -45,21 +45,25 @@
         self.sock.bind(("127.0.0.1", 0))
         self.sock.listen(8)
         self.sock.setblocking(False)
-        self.table = ServerTable([False], self.loop.time)
+        self.skip = 0.0   # seconds that the calls' clock is ahead: what would take long takes none
+        self.table = ServerTable([False], self.clock)
         self.table.update([Server("s1", self.sock.getsockname(), 1)], 1)
-        self.wheel = Wheel(0.005, self.loop.time(), self.loop.time)
+        self.wheel = Wheel(0.005, self.clock(), self.clock)
         self.pool = ConnectionPool(self.wheel, 4.0, 10)
-        self.backend = Backend(self.desk, self.table, self.pool, self.wheel, self.loop.time, 1.5, [])
+        self.backend = Backend(self.desk, self.table, self.pool, self.wheel, self.clock, 1.5, [])
         self.beat, self.made = self.loop.create_task(self._advance()), 0
 
+    def clock(self):
+        return self.loop.time() + self.skip
+
     async def _advance(self):
         while True:
-            self.wheel.advance(self.loop.time())
+            self.wheel.advance(self.clock())
             await asyncio.sleep(self.wheel.tick)
 
     def call(self, *bodies, limit=9.0):
         """A call and the task that it runs in."""
-        requests = [Request(f"aa{self.made + n:02}", "0", 0, 1, self.loop.time() + limit, body)
+        requests = [Request(f"aa{self.made + n:02}", "0", 0, 1, self.clock() + limit, body)
                     for n, body in enumerate(bodies)]
         self.made += len(bodies)
         call = Call(self.backend, Dispatch("s1", [Item(r.id, 0, limit) for r in requests]), requests)
