Look once more at a kept connection in the very step in which its call is written

Seen by hooks between two steps of a real call: a kept connection is looked at when it is taken, but the call goes on a turn of the loop later: behind the pause in which it rests after its last answer (plain pool), behind the keeper's future. What the server closed, reset or said in between had come to the socket, and not to the loop. The request was written all the same: a close ended it as `reset`, an order lost for nothing; a stray answer passed for the answer to this call, which then counts as delivered though it never ran. Checked and ruled out: the pool's own look (`take` looks past the loop, and without a pause nothing comes in between) and the keeper's (`_use`, the same). What comes after the write began cannot be known, and stays `reset`. At fault: Call._connect, which asked only whether the loop had read something, and Call._ask, which asked nothing. Nothing is resent: no byte had gone out. test_races_endpoints fails without it, six cases: the request goes over the dead connection, none over a new one.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -19,6 +19,7 @@
 from ..state.requests import Request
 from ..state.table import ServerTable
 from ..state.wheel import Wheel
+from ..streams import silent
 from . import http
 
 if TYPE_CHECKING:
@@ -103,13 +104,11 @@
         self._short = False    # whether it waits for a connection that this process has no room for
         self._written_at = 0.0
         self._parser = http.AnswerParser(MOST_BODY)
-        self._limits = {i.request: i.limit for i in order.items}
         # Danger: an answer to several after the time of one of them. The platform takes a shared call's time from one
         # message, and a later answer delivers none of them, whatever it says of the others.
         self._due = min((r.until for r in requests), default=inf)
-        self._timers = {
-            r: backend.wheel.after(max(limit - MARGIN, limit / 2), lambda r=r: self._late(r))
-            for r, limit in self._limits.items()}
+        self._timers = {r: backend.wheel.after(max(item.limit - MARGIN, item.limit / 2), lambda r=r: self._late(r))
+                        for r, item in self.items.items()}
 
     @property
     def _sent(self) -> bool:
@@ -139,6 +138,10 @@
                 more["read"] = self._parser.so_far()
             self._b.desk.ended(self.server, item, how, self._b.clock() - self._began, **more)
 
+    def _end_all(self, how: str, **more) -> None:
+        for request in list(self.items):
+            self._end(request, how, **more)
+
     def _give_up(self, request: str, how: str) -> None:
         if request not in self.items:
             return
@@ -181,16 +184,14 @@
             log.warning("backend server %s: %s", self.server, log_line(bad))
             how = ERROR
         finally:
-            for request in list(self.items):
-                self._end(request, how or (RESET if self._sent else NOT_CONNECTED))
+            self._end_all(how or (RESET if self._sent else NOT_CONNECTED))
             if self._connection is not None:
                 pool = self._b.pool
                 (pool.give_back if reusable else pool.discard)(self._connection)
 
     async def _exchange(self) -> bool:
         if self._row is None:   # gone since the decisions chose it
-            for request in list(self.items):
-                self._end(request, NOT_SENT)
+            self._end_all(NOT_SENT)
             return False
         await (self._connect() if self._b.kept is None else self._ask())
         b = self._b
@@ -210,15 +211,14 @@
                 size += room
         if not self.items:
             return True
-        fresh = self._connection.first is None or b.kept is not None and self._connection.age < 0
-        self._fresh = fresh
+        self._fresh = self._connection.first is None or b.kept is not None and self._connection.age < 0
         self._written_at, count = b.clock(), len(self.items)
         self._writing = stream.write(self._encode())
         await self._writing
         if b.figures is not None:
             b.figures.relayed += count
         if b.observer is not None:
-            b.observer.written(self.server, self.items, fresh)
+            b.observer.written(self.server, self.items, self._fresh)
         return await self._answer()
 
     async def _connect(self) -> None:
@@ -228,7 +228,7 @@
         while self._connection is not None and (rest := self._connection.rested_at - b.wheel.now) > 0:
             # Danger: what still comes behind the last answer would pass for the answer to this call.
             await b.wheel.pause(rest)
-            if not self._connection.first.done():
+            if silent(self._connection.stream, self._connection.first):
                 break
             b.pool.discard(self._connection)
             self._connection = b.pool.take(self.server, dial)
@@ -263,12 +263,17 @@
     async def _ask(self) -> None:
         """The keeper's: one that it trusts for what is to be sent, or the first that comes free or comes up."""
         careful = not all(self._b.desk.repeatable(request) for request in self._requests.values())
-        self._asked = self._b.kept.ask(self.server, self._row.kind, self._row.dial, careful)
-        self._connection = await self._asked.got
+        while self._connection is None:
+            self._asked = self._b.kept.ask(self.server, self._row.kind, self._row.dial, careful)
+            connection = await self._asked.got
+            # Danger: a turn of the loop after the keeper's look. Its server may have closed it, or spoken, since.
+            if silent(connection.stream, connection.first) or not self.items:
+                self._connection = connection
+            else:
+                self._b.kept.discard(connection)
 
     def _encode(self) -> bytes:
-        waited = self._b.clock() - self._began
-        left = max(self._limits[r] for r in self.items) - waited
+        left = max(item.limit for item in self.items.values()) - (self._b.clock() - self._began)
         headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
         dial = self._connection.dial
         requests = [self._requests[r] for r in self.items]
@@ -314,7 +319,7 @@
                 if self._single and parser.status == 200 and self.items:
                     if head is not None:
                         self._judge(head, body)
-                    self._delivered()
+                    self._end_all(DELIVERED)
                 if timer is not None and not parser.begun:
                     timer.cancel()   # what had begun was a 1xx answer in pieces, and the one to the call is to come
                     timer = None
@@ -324,11 +329,7 @@
             if timer is not None:
                 timer.cancel()
             if self._single and parser.status == 200:
-                self._delivered()
-
-    def _delivered(self) -> None:
-        for request in list(self.items):
-            self._end(request, DELIVERED)
+                self._end_all(DELIVERED)
 
     def _without_end(self) -> None:
         self._spoilt = True
@@ -375,8 +376,7 @@
                 log.error("backend server %s turned away what it cannot use: %d", self.server, head.status)
             case _:
                 how = ERROR
-        for request in list(self.items):
-            self._end(request, how, **more)
+        self._end_all(how, **more)
 
     def _judge_batch(self, body: bytes, more: dict) -> None:
         states = {}
--- a/tests/test_races_answers.py
+++ b/tests/test_races_answers.py
@@ -1,11 +1,9 @@
 """Races on answers: in pieces, cut, without end, late, ahead of or behind something else, forced every time."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
-from test_races_endpoints import OK, rig
+from test_races_endpoints import OK, reset, rig
 
 from linkdock.facade import DELIVERED, ERROR, RESET, TIMED_OUT
 
@@ -32,11 +30,6 @@
     await r.wheel.pause(0.0)
 
 
-def reset(sock):
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
 @pytest.mark.parametrize("cut", [1, 10, 22, 24, 30])
 def test_a_1xx_answer_in_pieces_does_not_begin_the_answer_to_the_call(cut):
     async def story():
--- a/tests/test_races_endpoints.py
+++ b/tests/test_races_endpoints.py
@@ -2,13 +2,17 @@
 
 import asyncio
 import contextlib
+import select
 import socket
+import struct
 
 import pytest
 
 from linkdock.connections import pool as pools
+from linkdock.connections.choice import ConnectionsSettings
+from linkdock.connections.kept import KeptPool
 from linkdock.connections.pool import ConnectionPool
-from linkdock.facade import CANCELLED, NOT_SENT, RESET, TIMED_OUT, Dispatch, Item, Server
+from linkdock.facade import CANCELLED, DELIVERED, NOT_SENT, RESET, TIMED_OUT, Dispatch, Item, Server
 from linkdock.protocol.calls import Backend, Call
 from linkdock.state.requests import Request
 from linkdock.state.table import ServerTable
@@ -92,13 +96,19 @@
                 await asyncio.sleep(0)
 
 
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 @contextlib.asynccontextmanager
 async def rig(**more):
     made = Rig(**more)
     yield made
     made.beat.cancel()
-    made.pool.close()
+    made.pool.retire("s1")
     assert not len(made.pool)   # whatever happened, each connection was given back once
+    made.pool.close()
     made.sock.close()
 
 
@@ -151,3 +161,64 @@
             assert r.desk.ends == [NOT_SENT]
             sock.close()
     asyncio.run(story())
+
+
+def kept_pool(r, tmp_path):
+    """The keeper's pool in the plain one's place."""
+    tasks = set()
+
+    def spawn(work):
+        tasks.add(task := r.loop.create_task(work))
+        task.add_done_callback(tasks.discard)
+    told = ConnectionsSettings(on=True, ahead=0.0)
+    r.pool = r.backend.pool = r.backend.kept = KeptPool(
+        told, r.wheel, spawn, lambda server: None, 10, 4.0, 1.5, 1.0, 1.0, tmp_path)
+
+
+ENDS = {"close": lambda sock: sock.close(), "reset": reset, "stray answer": lambda sock: sock.send(OK)}
+
+
+@pytest.mark.parametrize("keeper", [False, True])
+@pytest.mark.parametrize("end", ENDS)
+def test_a_kept_connection_that_ends_or_speaks_between_take_and_write_is_not_written_to(tmp_path, end, keeper):
+    """Between the look with which it is taken and the first byte there may be a turn of the loop."""
+    async def story():
+        async with rig() as r:
+            if keeper:
+                kept_pool(r, tmp_path)
+            _, run = r.call(b"x")
+            first = await r.accept()
+            assert await r.request(first)
+            await r.loop.sock_sendall(first, OK)
+            await run
+            if keeper:
+                await r.until(lambda: r.pool._idle)
+                connection, = r.pool._idle
+                real = r.pool._use
+
+                def use(asked, given):   # the keeper has looked, the call has not gone on yet
+                    real(asked, given)
+                    if given is connection:
+                        ENDS[end](first)
+                        select.select([given.stream.socket], [], [], 20)
+                r.pool._use = use
+            else:
+                (connection,), = r.pool._idle.values()
+                real_pause = r.wheel.pause
+
+                async def pause(seconds):   # it rests after its last answer; the loop wakes the call first
+                    await real_pause(seconds)
+                    ENDS[end](first)
+                    select.select([connection.stream.socket], [], [], 20)
+                r.wheel.pause = pause
+            _, run = r.call(b"y")
+            second = await asyncio.wait_for(r.accept(), 20)
+            if not keeper:
+                del r.wheel.pause
+            assert (await r.request(second)).endswith(b"y")
+            await r.loop.sock_sendall(second, OK)
+            await run
+            assert r.desk.ends == [DELIVERED, DELIVERED]
+            second.close()
+            first.close()
+    asyncio.run(story())
