Remember what ended last by number alone: an id is never sent again, however late it comes

Seen by reading and on the desk with a clock of the test's own: an ended id was forgotten 5 s after its end, whatever the settings' deadlines (16 s and more) and windows are. The same id on another connection was then taken on as new, an order took effect a second time under it, and the late answer of a shared call that still lists the first would have counted for it. At fault: Ends.remembered and `finish`, REMEMBERED = 5.0. test_races_repeats fails without it: nine cases later than 5 s dispatch the id anew.

--- a/linkdock/sender/ends.py
+++ b/linkdock/sender/ends.py
@@ -7,7 +7,7 @@
 from .books import Books
 
 CLOSE = 0.25   # seconds before its deadline in which a delivery may have come too late for the platform
-REMEMBERED, MOST_REMEMBERED = 5.0, 4096   # seconds for which ended requests are remembered, and how many
+MOST_REMEMBERED = 4096   # ended requests that are remembered
 ENDS = {"delivered": "fulfilled", "deferred": "throttled"}   # how the operators' figures call an end; else faulted
 
 
@@ -16,11 +16,11 @@
 
     def __init__(self, books: Books) -> None:
         self._b = books
-        self._over: dict[str, float] = {}   # ended lately: until when that is remembered
+        self._over: dict[str, None] = {}   # those that ended last, in order
 
     def remembered(self, request: str) -> bool:
-        """Whether it has ended a short while ago."""
-        return self._over.get(request, 0.0) > self._b.clock()
+        """Whether it has ended already. Danger: a second message under its id, at whatever time."""
+        return request in self._over
 
     def finish(self, request: str, how: str, notice: dict | None = None, due: float = inf) -> None:
         """The one place where a taken request ends: with a notice that is owed, or with nothing.
@@ -38,9 +38,9 @@
             # so ends before ours, or after the time of one that shared its call. It delivers nothing; a notice
             # about what is over does no harm.
             notice = {"id": request, "status": "undeliverable"}
-        while self._over and (len(self._over) >= MOST_REMEMBERED or next(iter(self._over.values())) <= now):
+        if len(self._over) >= MOST_REMEMBERED:
             del self._over[next(iter(self._over))]
-        self._over[request] = now + REMEMBERED
+        self._over[request] = None
         if b.figures is not None:
             b.figures.over(known.cls, ENDS.get(how, "faulted"))
         if b.undeliverable is not None and request in b.undeliverable.again:
--- /dev/null
+++ b/tests/test_races_repeats.py
@@ -0,0 +1,90 @@
+"""Races of repeats: the same id again, at once, late, behind its end, and beside the late answer of an attempt."""
+
+import pytest
+from test_races_windows import OneSender
+
+from linkdock.facade import DELIVERED, Item
+from linkdock.interface import Effect
+from linkdock.sender import ends
+from linkdock.state.requests import Refused, Request, Taken
+
+
+class Two(OneSender):
+    """The desk on a clock of the test's own, for several messages: what each client hears, which calls begin."""
+
+    def __init__(self, folder, effect):
+        super().__init__(folder, effect)
+        self.calls, self.heard, self.notices = [], [], []
+        self.sender._b.notices = self
+        self.sender._spawn = self.calls.append
+
+    def post(self, notice):
+        self.notices.append(notice)
+
+    def ask(self, name="aa01", body=b"x"):
+        heard = []
+        request = Request(name, "0", 0, 1, 0.0, body, answer=lambda said: heard.append(said) or True)
+        self.sender.ask("any", 1, 6.0, request, False, False)
+        return heard
+
+    def out(self, name="aa01"):
+        """The attempt that is out, once the pace lets it go, and that has written its first byte."""
+        while not (found := [attempt for request, attempt in self.sender._calls if request == name]):
+            self.now += 0.05
+            self.sender.beat()
+        attempt, = found
+        item = Item(name, attempt, 6.0)
+        assert self.sender.may_go("s1", item)
+        return item
+
+    def close(self):
+        for work in self.calls:
+            work.close()
+
+
+@pytest.fixture
+def desk(tmp_path):
+    made = []
+
+    def make(effect=Effect.UNSAFE):
+        made.append(Two(tmp_path, effect))
+        return made[-1]
+    yield make
+    for one in made:
+        one.close()
+
+
+@pytest.mark.parametrize("effect", list(Effect))
+@pytest.mark.parametrize("later", [0.0, 0.5, 4.9, 5.1, 6.5, 600.0])
+def test_an_id_that_has_ended_is_never_sent_again_before_or_after_its_window(desk, effect, later):
+    d = desk(effect)
+    assert not d.ask() and not d.sender.beat() and len(d.calls) == 1
+    d.sender.ended("s1", d.out(), DELIVERED, 0.1)
+    d.sender.beat()
+    d.now += later
+    assert d.ask(body=b"another client's") == [Taken(known=True)]
+    d.sender.beat()
+    assert len(d.calls) == 1 and not d.notices
+
+
+def test_what_ended_last_is_remembered_and_no_more_than_that(desk, monkeypatch):
+    monkeypatch.setattr(ends, "MOST_REMEMBERED", 2)
+    d = desk()
+    for name in ("aa01", "aa02", "aa03"):
+        d.ask(name)
+        d.sender.beat()
+        d.sender.ended("s1", d.out(name), DELIVERED, 0.1)
+        d.sender.beat()
+    assert [d.sender._ends.remembered(name) for name in ("aa01", "aa02", "aa03")] == [False, True, True]
+
+
+def test_the_same_id_on_two_connections_at_once_is_one_message(desk):
+    d = desk()
+    first = d.ask()
+    with pytest.raises(Refused):
+        d.ask()   # the first is not answered yet
+    d.sender.beat()
+    assert first == [Taken()] and len(d.calls) == 1
+    assert d.ask() == [Taken(known=True)]   # and from now on it is owed, once
+    d.sender.beat()
+    assert len(d.calls) == 1
