End by a notice as well what was delivered within the time that its client may have waited

Seen by reading: a message's time runs from when its client sent it, and is counted here from when it is read. A client waits 0.4 s for its answer, so that much may lie between (a busy process, a full queue of connections), and 0.25 s was the margin in which a delivery is ended by a notice as well. An answer in between came too late by the platform's clock, and no notice followed: the message is lost. Checked and ruled out: the margin as a matter of one deployment (it follows from the protocol's 400 ms; beyond that the client has left and nothing is owed), what lay in the socket at the start (its time is cut by the same 0.4 s already). At fault: Ends.finish, CLOSE = 0.25, which had been measured. It is WAITED now, the figure that cuts the time of what came early. test_races_repeats fails without it: deliveries 0.39 and 0.3 s before the end are followed by nothing.

--- a/linkdock/sender/desk.py
+++ b/linkdock/sender/desk.py
@@ -30,7 +30,7 @@
 from ..state.requests import Answer, Busy, Failed, Refused, Request, Taken
 from ..state.roster import Roster
 from .books import Books
-from .ends import Ends
+from .ends import WAITED, Ends
 from .lives import Lives
 
 if TYPE_CHECKING:
@@ -39,7 +39,7 @@
 
 log = logging.getLogger(__name__)
 
-WAITED, EARLY = 0.4, 0.05   # seconds that a client waits for its answer; and after a start until what comes is fresh
+EARLY = 0.05    # seconds after a start until what comes is fresh
 NO_LIST = 1.0   # seconds after which to come again to a sender that has no list yet
 
 
--- a/linkdock/sender/ends.py
+++ b/linkdock/sender/ends.py
@@ -6,7 +6,7 @@
 
 from .books import Books
 
-CLOSE = 0.25   # seconds before its deadline in which a delivery may have come too late for the platform
+WAITED = 0.4   # seconds that a client waits for its answer: so much of a message's time may be gone when it is read
 MOST_REMEMBERED = 4096   # ended requests that are remembered
 ENDS = {"delivered": "fulfilled", "deferred": "throttled"}   # how the operators' figures call an end; else faulted
 
@@ -33,10 +33,10 @@
             return
         b.requests.remove(request)
         now = b.clock()
-        if notice is None and now > min(known.until, due) - CLOSE:
-            # Danger: an answer written just after the message's time was up, which runs from its client's side and
-            # so ends before ours, or after the time of one that shared its call. It delivers nothing; a notice
-            # about what is over does no harm.
+        if notice is None and now > min(known.until, due) - WAITED:
+            # Danger: an answer written just after the message's time was up, which runs from its client's side and so
+            # ends before ours by as much as it waited, or after the time of one that shared its call. It delivers
+            # nothing; a notice about what is over does no harm.
             notice = {"id": request, "status": "undeliverable"}
         if len(self._over) >= MOST_REMEMBERED:
             del self._over[next(iter(self._over))]
--- a/tests/test_races_repeats.py
+++ b/tests/test_races_repeats.py
@@ -88,3 +88,15 @@
     assert d.ask() == [Taken(known=True)]   # and from now on it is owed, once
     d.sender.beat()
     assert len(d.calls) == 1
+
+
+@pytest.mark.parametrize("left, ends_by_notice", [(0.45, False), (0.39, True), (0.3, True), (0.1, True)])
+def test_a_delivery_within_what_its_client_may_have_waited_is_ended_by_a_notice_as_well(desk, left, ends_by_notice):
+    """The platform counts the time from when the client sent it, up to 0.4 s before it is read here."""
+    d = desk()
+    d.ask()
+    d.sender.beat()
+    item = d.out()
+    d.now = d.sender._b.requests.get("aa01").until - left
+    d.sender.ended("s1", item, DELIVERED, 0.1)
+    assert [n["id"] for n in d.notices] == ["aa01"] * ends_by_notice
