Take a batch answer that names an item twice for a spoilt one

Seen by a scripted server: a list of states that names one id twice counted by its last line. `done` and then `busy` became a proof that an order had never run, and it went out again. Checked and ruled out: a list cut at any byte, by a close, a reset or silence (it may have run, whatever it said so far; kept by tests now), an id that is missing or foreign (an error, or passed over). At fault: Call._judge_batch, which made a dict of the lines. test_races_answers fails without it: three cases end as `turned away` or `delivered`.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -382,8 +382,9 @@
         states = {}
         try:
             lines = json.loads(body)
-            if not isinstance(lines, list) or not all(STATES[line["state"]] for line in lines):
-                raise http.BadAnswer("no list of states")
+            if not isinstance(lines, list) or not all(STATES[line["state"]] for line in lines) or (
+                    len({str(line["id"]) for line in lines}) < len(lines)):
+                raise http.BadAnswer("no list of states, one for each id")
             states = {str(line["id"]): line["state"] for line in lines}
         except (ValueError, TypeError, KeyError, RecursionError) as bad:
             # Danger: any JSON may come. An item without a state that can be read may have run.
--- a/tests/test_races_answers.py
+++ b/tests/test_races_answers.py
@@ -1,6 +1,7 @@
 """Races on answers: in pieces, cut, without end, late, ahead of or behind something else, forced every time."""
 
 import asyncio
+import json
 
 import pytest
 from test_races_endpoints import OK, reset, rig
@@ -88,3 +89,39 @@
             assert r.desk.ends == [how] and not len(r.pool)
             sock.close()
     asyncio.run(story())
+
+
+def told(*states):
+    body = json.dumps([{"id": name, "state": state} for name, state in states]).encode()
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+@pytest.mark.parametrize("states", [("done", "busy"), ("busy", "done"), ("busy", "busy")])
+def test_a_batch_answer_that_names_an_item_twice_proves_nothing(states):
+    async def story():
+        async with rig() as r:
+            _, run, sock = await begun(r, b"x", b"y")
+            await r.loop.sock_sendall(sock, told(("aa00", states[0]), ("aa01", "busy"), ("aa00", states[1])))
+            await run
+            assert r.desk.ends == [ERROR, ERROR]
+            sock.close()
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("then, how", [("nothing", ERROR), ("close", RESET), ("reset", RESET)])
+@pytest.mark.parametrize("cut", [20, 41, 60, 90])
+def test_a_batch_answer_that_is_cut_may_have_run_whatever_it_said_so_far(cut, then, how):
+    async def story():
+        async with rig() as r:
+            call, run, sock = await begun(r, b"x", b"y")
+            await say(r, call, sock, told(("aa00", "busy"), ("aa01", "done"))[:cut])
+            if then == "nothing":
+                await pass_time(r, 0.6)
+            elif then == "close":
+                sock.close()
+            else:
+                reset(sock)
+            await run
+            assert r.desk.ends == [how, how]
+            sock.close()
+    asyncio.run(story())
