Force the harmless orders of answers, dials, ends and repeats as well, and keep what happens

An answer in the instant of a time-out, a cancel and the end; one before its request is written; a dial that comes up after its time or as its message ends, or never; an end long after the last byte; an order that comes again under its id; a repeat beside the late answer of the first attempt, and over a restart.

--- a/tests/test_races_answers.py
+++ b/tests/test_races_answers.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import json
+import select
 
 import pytest
 from test_races_endpoints import OK, reset, rig
 
-from linkdock.facade import DELIVERED, ERROR, RESET, TIMED_OUT
+from linkdock.facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, RESET, TIMED_OUT, TURNED_AWAY
 
 
 async def begun(r, *bodies, **more):
@@ -125,3 +126,83 @@
             assert r.desk.ends == [how, how]
             sock.close()
     asyncio.run(story())
+
+
+@pytest.mark.parametrize("what, how", [("late", TIMED_OUT), ("cancel", CANCELLED), ("end of the process", RESET)])
+@pytest.mark.parametrize("read", [False, True])
+def test_an_answer_in_the_instant_in_which_its_call_is_given_up_ends_it_once(what, how, read):
+    """It lies in the socket, or the loop has it and the call does not: for the platform it is delivered.
+
+    Harmless: a repeat of what was delivered is answered so once more, a notice about it does nothing, and what may not
+    be repeated goes out no second time, as this is no proof.
+    """
+    async def story():
+        async with rig() as r:
+            call, run, sock = await begun(r)
+            stream = call._connection.stream
+
+            def give_up():
+                {"late": lambda: call._late("aa00"), "cancel": lambda: call.cancel("aa00"),
+                 "end of the process": run.cancel}[what]()
+            if read:
+                real = stream._handle_read
+
+                def handle_read():
+                    real()
+                    give_up()
+                stream._handle_read = handle_read
+                await r.loop.sock_sendall(sock, OK)
+            else:
+                sock.send(OK)
+                select.select([stream.socket], [], [], 20)
+                give_up()
+            await asyncio.wait([run], timeout=20)
+            assert r.desk.ends == [how] and not len(r.pool) and stream.closed()
+            sock.close()
+    asyncio.run(story())
+
+
+def test_an_answer_behind_another_serves_no_call():
+    async def story():
+        async with rig() as r:
+            _, run, sock = await begun(r)
+            await r.loop.sock_sendall(sock, OK + OK)
+            await run
+            assert r.desk.ends == [DELIVERED] and not len(r.pool)
+            sock.close()
+            _, run, sock = await begun(r)   # a connection of its own
+            reset(sock)
+            await run
+            assert r.desk.ends == [DELIVERED, RESET]
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("early, how", [
+    (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", TURNED_AWAY), (b"HTTP/1.1 2", ERROR)])
+def test_an_answer_before_the_request_is_written_counts_once_the_request_is(early, how):
+    async def story():
+        async with rig(small=True) as r:
+            call, run = r.call(b"x" * 2_000_000)
+            sock = await r.accept()
+            await r.until(lambda: call._connection is not None and call._connection.stream.writing())
+            await r.loop.sock_sendall(sock, early)
+            assert r.desk.ends == [] and await r.request(sock)
+            await r.until(lambda: call._parser.read == len(early))
+            await pass_time(r, 0.6)
+            await run
+            assert r.desk.ends == [how]
+            sock.close()
+    asyncio.run(story())
+
+
+def test_an_early_answer_and_a_reset_before_the_last_byte_never_ran():
+    async def story():
+        async with rig(small=True) as r:
+            call, run = r.call(b"x" * 2_000_000)
+            sock = await r.accept()
+            await r.until(lambda: call._connection is not None and call._connection.stream.writing())
+            await r.loop.sock_sendall(sock, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+            sock.close()   # over unread bytes: a reset
+            await run
+            assert r.desk.ends == [NOT_CONNECTED]
+    asyncio.run(story())
--- a/tests/test_races_endpoints.py
+++ b/tests/test_races_endpoints.py
@@ -7,12 +7,13 @@
 import struct
 
 import pytest
+from tornado.iostream import IOStream
 
 from linkdock.connections import pool as pools
 from linkdock.connections.choice import ConnectionsSettings
 from linkdock.connections.kept import KeptPool
 from linkdock.connections.pool import ConnectionPool
-from linkdock.facade import CANCELLED, DELIVERED, NOT_SENT, RESET, TIMED_OUT, Dispatch, Item, Server
+from linkdock.facade import CANCELLED, DELIVERED, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, Dispatch, Item, Server
 from linkdock.protocol.calls import Backend, Call
 from linkdock.state.requests import Request
 from linkdock.state.table import ServerTable
@@ -41,10 +42,10 @@
 class Rig:
     """Real calls to one listening socket, whose accepted connections the test reads and writes itself."""
 
-    def __init__(self, small=False):
+    def __init__(self, small):
         self.loop, self.desk = asyncio.get_running_loop(), Desk()
         self.sock = socket.socket()
-        if small:   # a large request does not fit in what the system holds back
+        if small:
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
         self.sock.bind(("127.0.0.1", 0))
         self.sock.listen(8)
@@ -101,10 +102,20 @@
     sock.close()
 
 
+def small_stream(real=pools.new_stream):
+    stream = real()
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+    return stream
+
+
 @contextlib.asynccontextmanager
-async def rig(**more):
-    made = Rig(**more)
-    yield made
+async def rig(small=False):
+    """`small`: a large request does not fit in what the system holds back."""
+    made = Rig(small)
+    with pytest.MonkeyPatch.context() as patch:
+        if small:
+            patch.setattr(pools, "new_stream", small_stream)
+        yield made
     made.beat.cancel()
     made.pool.retire("s1")
     assert not len(made.pool)   # whatever happened, each connection was given back once
@@ -115,17 +126,8 @@
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 
 
-@pytest.fixture
-def small_buffers(monkeypatch):
-    def made(real=pools.new_stream):
-        stream = real()
-        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
-        return stream
-    monkeypatch.setattr(pools, "new_stream", made)
-
-
 @pytest.mark.parametrize("what, how", [("cancel", CANCELLED), ("late", TIMED_OUT), ("end of the process", RESET)])
-def test_a_call_given_up_right_after_its_last_byte_may_have_run(small_buffers, what, how):
+def test_a_call_given_up_right_after_its_last_byte_may_have_run(what, how):
     """Between the write of the last byte and the turn of the loop in which the call hears of it."""
     async def story():
         async with rig(small=True) as r:
@@ -150,7 +152,7 @@
     asyncio.run(story())
 
 
-def test_a_call_given_up_before_its_last_byte_never_ran(small_buffers):
+def test_a_call_given_up_before_its_last_byte_never_ran():
     async def story():
         async with rig(small=True) as r:
             call, run = r.call(b"x" * 2_000_000)
@@ -222,3 +224,95 @@
             second.close()
             first.close()
     asyncio.run(story())
+
+
+@pytest.mark.parametrize("when", ["while it is dialled", "as it comes up"])
+@pytest.mark.parametrize("what, how", [("dial", NOT_CONNECTED), ("late", NOT_CONNECTED), ("cancel", NOT_SENT)])
+def test_a_dial_that_comes_up_after_its_time_or_as_its_message_ends_carries_nothing(monkeypatch, what, when, how):
+    """Its time-out, the end of its message's time, a cancel: told once, as what surely never ran."""
+    async def story():
+        async with rig() as r:
+            real = IOStream.connect
+
+            async def connect(stream, address):
+                dialled = real(stream, address)
+                if when == "as it comes up":
+                    await dialled
+                {"dial": stream.close, "late": lambda: call._late("aa00"),
+                 "cancel": lambda: call.cancel("aa00")}[what]()
+                await dialled
+            monkeypatch.setattr(IOStream, "connect", connect)
+            call, run = r.call(b"x")
+            await run
+            assert r.desk.ends == [how]
+            assert await r.request(await r.accept()) == b""   # it came up, and went without a byte
+    asyncio.run(story())
+
+
+def test_a_dial_that_never_comes_up_ends_by_the_time_for_connecting():
+    async def story():
+        async with rig() as r:
+            r.sock.listen(0)
+            others = [socket.socket() for _ in range(3)]   # those that nobody accepts leave no room for another
+            for other in others:
+                other.setblocking(False)
+                other.connect_ex(r.sock.getsockname())
+            call, run = r.call(b"x")
+            await r.until(lambda: call._connection is not None)
+            await r.wheel.pause(0.0)
+            assert not run.done()
+            r.skip += 1.6
+            await run
+            assert r.desk.ends == [NOT_CONNECTED]
+            for other in others:
+                other.close()
+    asyncio.run(story())
+
+
+def test_a_wait_told_while_it_was_dialled_is_kept_and_the_connection_serves_the_next():
+    async def story():
+        async with rig() as r:
+            r.desk.looked = lambda: False
+            _, run = r.call(b"x")
+            await run
+            assert r.desk.ends == [NOT_SENT]
+            sock = await r.accept()
+            r.desk.looked = lambda: True
+            _, run = r.call(b"y")
+            assert (await r.request(sock)).endswith(b"y")
+            await r.loop.sock_sendall(sock, OK)
+            await run
+            assert r.desk.ends == [NOT_SENT, DELIVERED]
+            sock.close()
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("after", [0.0, 8.0])
+@pytest.mark.parametrize("what, how", [("close", RESET), ("reset", RESET), ("silence", TIMED_OUT)])
+def test_what_ends_after_the_last_byte_may_have_run_at_once_or_long_after(what, how, after):
+    async def story():
+        async with rig() as r:
+            _, run = r.call(b"x")
+            sock = await r.accept()
+            assert await r.request(sock)
+            r.skip += after
+            await r.wheel.pause(0.0)
+            assert r.desk.ends == [] and not run.done()
+            if what == "silence":
+                r.skip += 9.0
+            else:
+                ENDS[what](sock)
+            await run
+            assert r.desk.ends == [how]
+            sock.close()
+    asyncio.run(story())
+
+
+def test_a_connection_that_is_refused_never_ran():
+    async def story():
+        async with rig() as r:
+            r.sock.close()
+            _, run = r.call(b"x")
+            await run
+            assert r.desk.ends == [NOT_CONNECTED]
+    asyncio.run(story())
--- a/tests/test_races_repeats.py
+++ b/tests/test_races_repeats.py
@@ -1,9 +1,9 @@
 """Races of repeats: the same id again, at once, late, behind its end, and beside the late answer of an attempt."""
 
 import pytest
-from test_races_windows import OneSender
+from test_races_windows import WINDOW, OneSender
 
-from linkdock.facade import DELIVERED, Item
+from linkdock.facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, Item
 from linkdock.interface import Effect
 from linkdock.sender import ends
 from linkdock.state.requests import Refused, Request, Taken
@@ -100,3 +100,80 @@
     d.now = d.sender._b.requests.get("aa01").until - left
     d.sender.ended("s1", item, DELIVERED, 0.1)
     assert [n["id"] for n in d.notices] == ["aa01"] * ends_by_notice
+
+
+@pytest.mark.parametrize("how", [ERROR, RESET, TIMED_OUT, CANCELLED])
+def test_an_order_that_may_have_run_is_never_sent_again_however_often_its_id_comes(desk, how):
+    d = desk()
+    d.ask()
+    d.sender.beat()
+    d.sender.ended("s1", d.out(), how, 0.1)
+    d.sender.beat()
+    assert d.notices == [{"id": "aa01", "status": "undeliverable"}]
+    for later in (0.0, 1.0, 60.0):
+        d.now += later
+        assert d.ask() == [Taken(known=True)]
+        d.sender.beat()
+    assert len(d.calls) == 1 and len(d.notices) == 1
+
+
+@pytest.mark.parametrize("effect", [Effect.SAFE, Effect.KEYED])
+@pytest.mark.parametrize("written", [False, True])
+def test_a_repeat_that_races_the_late_answer_of_the_first_attempt(desk, effect, written):
+    """The first attempt was given up alone in a shared call, which goes on and then says that it was done."""
+    d = desk(effect)
+    d.ask()
+    d.sender.beat()
+    d.sender.ended("s1", d.out(), TIMED_OUT, 0.1)
+    d.sender.beat()
+    while len(d.calls) < 2:   # the repeat is on its way, and dials
+        d.now += 0.01
+        d.sender.beat()
+    repeat = Item("aa01", 1, 5.0)
+    assert not written or d.sender.may_go("s1", repeat)
+    d.sender.delivered_late("aa01", d.now + 5.0)
+    assert not d.sender.may_go("s1", repeat)   # from now on it is over
+    d.sender.beat()
+    d.sender.ended("s1", repeat, DELIVERED if written else NOT_SENT, 0.2)
+    d.sender.beat()
+    assert not d.notices and not d.sender._b.journal.kept and len(d.calls) == 2
+    assert d.ask() == [Taken(known=True)]
+
+
+def test_a_late_answer_does_not_end_what_is_over(desk):
+    d = desk(Effect.SAFE)
+    d.ask()
+    d.sender.beat()
+    d.sender.ended("s1", d.out(), DELIVERED, 0.1)
+    d.sender.delivered_late("aa01", d.now + 5.0)
+    d.sender.beat()
+    assert not d.notices and d.sender._ends.remembered("aa01")
+
+
+@pytest.mark.parametrize("how, resent", [(TIMED_OUT, {Effect.SAFE}), (NOT_CONNECTED, set(Effect))])
+@pytest.mark.parametrize("effect", list(Effect))
+def test_over_a_restart_what_may_have_run_goes_again_only_where_its_class_is_safe(desk, effect, how, resent):
+    """When an attempt of an earlier life went out is not known: a keyed one is not trusted to be in its window."""
+    d = desk(effect)
+    d.ask()
+    d.sender.beat()
+    item = d.out()
+    if how != TIMED_OUT:   # else the life ends while it is out
+        d.sender.ended("s1", item, how, 0.1)
+    d.sender._b.journal.close()
+    d = desk(effect)
+    d.sender.restore()
+    for _ in range(200):
+        d.now += 0.01
+        d.sender.beat()
+    assert bool(d.calls) is (effect in resent) and bool(d.notices) is (effect not in resent)
+
+
+def test_a_repeat_in_a_shared_call_is_held_by_its_own_window_alone(desk):
+    d = desk(Effect.KEYED)
+    for name in ("aa01", "aa02"):
+        d.ask(name)
+        d.sender.beat()
+    d.sender.ended("s1", d.out("aa01"), ERROR, 0.1)
+    d.now += WINDOW + 0.01
+    assert not d.sender.may_go("s1", Item("aa01", 1, 5.0)) and d.sender.may_go("s1", Item("aa02", 0, 5.0))
