Hold a 503 with a load report for one about the call, and count no dial into a refused connection

Seen by reading: every 503 with `Connection: close` over a new connection became `not connected`. That was measured for answers without a report; a limit's answers carry one, and what is learned of a limit was lost where its server also closes. And the attempt's time held the dial: where a connection came up late (0.75 s and more of 1.5), a server that said at once that it was full passed for one that was never reached. That counts as a loss and stops the server after three. Checked and ruled out: X-Line-Busy (looked at before), a kept connection (never so), a wait told with it (it binds whatever the outcome is called), batches (all in one fare the same). At fault: Call._judge, case 503. test_races_endpoints fails without it: a report ends as `not connected`, and a refusal takes 1.2 s.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -356,10 +356,11 @@
                 how = TURNED_AWAY
             case 503:
                 how = NOT_SENT if head.headers.get("x-line-busy") == "1" else TURNED_AWAY
-                if how == TURNED_AWAY and self._fresh and "close" in head.headers.get("connection", "").lower():
-                    # Danger: the server has all the connections that it takes, and a new one is no call that it
-                    # turned away: idle ones of others hold them, and a slower pace alone would never free any.
-                    how = NOT_CONNECTED
+                if how == TURNED_AWAY and self._fresh and "endpoint-load-metrics" not in head.headers and (
+                        "close" in head.headers.get("connection", "").lower()):
+                    # Danger: all its connections are taken, idle ones of others hold them, and a slower pace alone
+                    # would never free any. With a report it is about the call.
+                    how, self._began = NOT_CONNECTED, self._written_at   # how long the dial took says nothing of it
                 if self._b.kept is not None:
                     self._b.kept.told_full(self._connection, self._b.clock() - self._written_at)
             case 410:
--- a/tests/test_races_endpoints.py
+++ b/tests/test_races_endpoints.py
@@ -13,7 +13,18 @@
 from linkdock.connections.choice import ConnectionsSettings
 from linkdock.connections.kept import KeptPool
 from linkdock.connections.pool import ConnectionPool
-from linkdock.facade import CANCELLED, DELIVERED, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, Dispatch, Item, Server
+from linkdock.facade import (
+    CANCELLED,
+    DELIVERED,
+    NOT_CONNECTED,
+    NOT_SENT,
+    RESET,
+    TIMED_OUT,
+    TURNED_AWAY,
+    Dispatch,
+    Item,
+    Server,
+)
 from linkdock.protocol.calls import Backend, Call
 from linkdock.state.requests import Request
 from linkdock.state.table import ServerTable
@@ -24,13 +35,14 @@
     """It lets everything go and notes the ends; `looked` is called at the last look before the first byte."""
 
     def __init__(self):
-        self.ends, self.looked = [], lambda: True
+        self.ends, self.took, self.looked = [], [], lambda: True
 
     def may_go(self, server, item):
         return self.looked()
 
     def ended(self, server, item, how, elapsed, *more, **told):
         self.ends.append(how)
+        self.took.append(elapsed)
 
     def repeatable(self, request):
         return False
@@ -316,3 +328,27 @@
             await run
             assert r.desk.ends == [NOT_CONNECTED]
     asyncio.run(story())
+
+
+@pytest.mark.parametrize("told, how, quick", [
+    (b"Connection: close", NOT_CONNECTED, True),     # it has no connection to spare, and says so at once
+    (b"Connection: close\r\nEndpoint-Load-Metrics: x0=0,x1=20", TURNED_AWAY, False),   # this is about the call
+    (b"Connection: close\r\nX-Line-Busy: 1", NOT_SENT, False)])
+def test_a_new_connection_that_came_up_late_and_is_turned_away_was_refused_at_once(monkeypatch, told, how, quick):
+    """Danger: with the dial counted in, it would pass for a server that was never reached, and count as a loss."""
+    async def story():
+        async with rig() as r:
+            real = IOStream.connect
+
+            async def connect(stream, address):
+                await real(stream, address)
+                r.skip += 1.2
+            monkeypatch.setattr(IOStream, "connect", connect)
+            _, run = r.call(b"x")
+            sock = await r.accept()
+            assert await r.request(sock)
+            await r.loop.sock_sendall(sock, b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n" + told + b"\r\n\r\n")
+            await run
+            assert r.desk.ends == [how] and (r.desk.took[0] < 0.75) is quick
+            sock.close()
+    asyncio.run(story())
