--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -5,7 +5,7 @@
 import base64
 import json
 import logging
-import re
+from asyncio import Future
 from collections.abc import Callable
 from math import inf
 from typing import TYPE_CHECKING, Protocol
@@ -19,6 +19,7 @@
 from ..state.requests import Request
 from ..state.table import ServerTable
 from ..state.wheel import Wheel
+from ..streams import silent
 from . import http
 
 if TYPE_CHECKING:
@@ -33,7 +34,6 @@
 MARGIN = 0.05          # seconds before the told end of a call at which it is given up
 NO_ROOM_PAUSE = 0.05   # seconds until a connection is tried again that there was no room for
 REST_OF_ANSWER = 0.5   # seconds that an answer may take from its first byte to its last
-NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,12})?\Z")
 STATES = {"done": DELIVERED, "failed": ERROR, "busy": TURNED_AWAY, "void": NOT_SENT, "used_up": NOT_SENT}
 
 
@@ -75,7 +75,7 @@
         told: dict[str, float] = {}
         for part in headers.get("endpoint-load-metrics", "").split(","):
             name, _, value = part.partition("=")
-            name, number = name.strip(), _number(value)
+            name, number = name.strip(), http.number(value)
             if name in self.fields:
                 # Danger: half a report would pass for one of a limit that is used up, or of none.
                 if number is None or name in told or name == "x0" and number > 1:
@@ -86,12 +86,6 @@
         return told.get("x0", 0.0), told.get("x1", 0.0)
 
 
-def _number(text: str) -> float | None:
-    """A number as the protocol writes it, or None. Danger: `float` also takes `nan`, `1_0` and `1e300`."""
-    text = text.strip()
-    return float(text) if NUMBER.match(text) else None
-
-
 class Call:
     """One dispatch. It owns its connection while it runs, and ends each of its items once."""
 
@@ -101,8 +95,7 @@
         self.items = {item.request: item for item in order.items}   # without an outcome yet
         self._given_up: set[str] = set()
         self._began = backend.clock()
-        self._up = False     # whether the connection was up for it
-        self._sent = False   # whether the last byte is written
+        self._writing: Future | None = None   # of its bytes, from the first on
         self._fresh = False    # whether it goes over a connection that nothing went over before
         self._single = True    # whether one answer counts for one item
         self._spoilt = False   # whether the answer began and did not end in time
@@ -111,13 +104,21 @@
         self._short = False    # whether it waits for a connection that this process has no room for
         self._written_at = 0.0
         self._parser = http.AnswerParser(MOST_BODY)
-        self._limits = {i.request: i.limit for i in order.items}
         # Danger: an answer to several after the time of one of them. The platform takes a shared call's time from one
         # message, and a later answer delivers none of them, whatever it says of the others.
         self._due = min((r.until for r in requests), default=inf)
-        self._timers = {
-            r: backend.wheel.after(max(limit - MARGIN, limit / 2), lambda r=r: self._late(r))
-            for r, limit in self._limits.items()}
+        self._timers = {r: backend.wheel.after(max(item.limit - MARGIN, item.limit / 2), lambda r=r: self._late(r))
+                        for r, item in self.items.items()}
+
+    @property
+    def _sent(self) -> bool:
+        """Whether the last byte is written, also where the loop has not come back to `_exchange` since.
+
+        Danger: a proof that is none. At the process's end the wait for the write is cancelled, not the write.
+        """
+        write = self._writing
+        return write is not None and write.done() and (
+            not self._connection.stream.writing() if write.cancelled() else write.exception() is None)
 
     # --- Ends.
 
@@ -137,6 +138,10 @@
                 more["read"] = self._parser.so_far()
             self._b.desk.ended(self.server, item, how, self._b.clock() - self._began, **more)
 
+    def _end_all(self, how: str, **more) -> None:
+        for request in list(self.items):
+            self._end(request, how, **more)
+
     def _give_up(self, request: str, how: str) -> None:
         if request not in self.items:
             return
@@ -173,22 +178,20 @@
             if self._spoilt:   # else by the other side, or by giving up
                 log.warning("backend server %s: an answer without end", self.server)
                 how = ERROR
-            elif self._up and self.items and not self._parser.read and self._b.kept is not None:
+            elif self._writing is not None and self.items and not self._parser.read and self._b.kept is not None:
                 self._b.kept.used(self._connection, False)   # given up by nobody here, and nothing came on it
         except http.BadAnswer as bad:
             log.warning("backend server %s: %s", self.server, log_line(bad))
             how = ERROR
         finally:
-            for request in list(self.items):
-                self._end(request, how or (RESET if self._sent else NOT_CONNECTED))
+            self._end_all(how or (RESET if self._sent else NOT_CONNECTED))
             if self._connection is not None:
                 pool = self._b.pool
                 (pool.give_back if reusable else pool.discard)(self._connection)
 
     async def _exchange(self) -> bool:
         if self._row is None:   # gone since the decisions chose it
-            for request in list(self.items):
-                self._end(request, NOT_SENT)
+            self._end_all(NOT_SENT)
             return False
         await (self._connect() if self._b.kept is None else self._ask())
         b = self._b
@@ -208,15 +211,14 @@
                 size += room
         if not self.items:
             return True
-        fresh = self._connection.first is None or b.kept is not None and self._connection.age < 0
-        self._fresh = fresh
-        self._up, self._written_at, count = True, b.clock(), len(self.items)
-        await stream.write(self._encode())
-        self._sent = True
+        self._fresh = self._connection.first is None or b.kept is not None and self._connection.age < 0
+        self._written_at, count = b.clock(), len(self.items)
+        self._writing = stream.write(self._encode())
+        await self._writing
         if b.figures is not None:
             b.figures.relayed += count
         if b.observer is not None:
-            b.observer.written(self.server, self.items, fresh)
+            b.observer.written(self.server, self.items, self._fresh)
         return await self._answer()
 
     async def _connect(self) -> None:
@@ -226,7 +228,7 @@
         while self._connection is not None and (rest := self._connection.rested_at - b.wheel.now) > 0:
             # Danger: what still comes behind the last answer would pass for the answer to this call.
             await b.wheel.pause(rest)
-            if not self._connection.first.done():
+            if silent(self._connection.stream, self._connection.first):
                 break
             b.pool.discard(self._connection)
             self._connection = b.pool.take(self.server, dial)
@@ -261,12 +263,17 @@
     async def _ask(self) -> None:
         """The keeper's: one that it trusts for what is to be sent, or the first that comes free or comes up."""
         careful = not all(self._b.desk.repeatable(request) for request in self._requests.values())
-        self._asked = self._b.kept.ask(self.server, self._row.kind, self._row.dial, careful)
-        self._connection = await self._asked.got
+        while self._connection is None:
+            self._asked = self._b.kept.ask(self.server, self._row.kind, self._row.dial, careful)
+            connection = await self._asked.got
+            # Danger: a turn of the loop after the keeper's look. Its server may have closed it, or spoken, since.
+            if silent(connection.stream, connection.first) or not self.items:
+                self._connection = connection
+            else:
+                self._b.kept.discard(connection)
 
     def _encode(self) -> bytes:
-        waited = self._b.clock() - self._began
-        left = max(self._limits[r] for r in self.items) - waited
+        left = max(item.limit for item in self.items.values()) - (self._b.clock() - self._began)
         headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
         dial = self._connection.dial
         requests = [self._requests[r] for r in self.items]
@@ -314,18 +321,17 @@
                 if self._single and parser.status == 200 and self.items:
                     if head is not None:
                         self._judge(head, body)
-                    self._delivered()
-                if timer is None and parser.begun:
+                    self._end_all(DELIVERED)
+                if timer is not None and not parser.begun:
+                    timer.cancel()   # what had begun was a 1xx answer in pieces, and the one to the call is to come
+                    timer = None
+                elif timer is None and parser.begun:
                     timer = self._b.wheel.after(REST_OF_ANSWER, self._without_end)
         finally:
             if timer is not None:
                 timer.cancel()
             if self._single and parser.status == 200:
-                self._delivered()
-
-    def _delivered(self) -> None:
-        for request in list(self.items):
-            self._end(request, DELIVERED)
+                self._end_all(DELIVERED)
 
     def _without_end(self) -> None:
         self._spoilt = True
@@ -333,7 +339,7 @@
 
     def _said(self, head: http.Head) -> dict:
         """What every answer may tell besides its outcome: a wait and a load report."""
-        wait = _number(head.headers.get("retry-after", "")) or 0.0
+        wait = http.number(head.headers.get("retry-after", "")) or 0.0
         if wait:
             route = self._b.table.told_wait(self._row, self._b.clock() + wait)
             if self._b.observer is not None:
@@ -352,10 +358,11 @@
                 how = TURNED_AWAY
             case 503:
                 how = NOT_SENT if head.headers.get("x-line-busy") == "1" else TURNED_AWAY
-                if how == TURNED_AWAY and self._fresh and "close" in head.headers.get("connection", "").lower():
-                    # Danger: the server has all the connections that it takes, and a new one is no call that it
-                    # turned away: idle ones of others hold them, and a slower pace alone would never free any.
-                    how = NOT_CONNECTED
+                if how == TURNED_AWAY and self._fresh and "endpoint-load-metrics" not in head.headers and (
+                        "close" in head.headers.get("connection", "").lower()):
+                    # Danger: all its connections are taken, idle ones of others hold them, and a slower pace alone
+                    # would never free any. With a report it is about the call.
+                    how, self._began = NOT_CONNECTED, self._written_at   # how long the dial took says nothing of it
                 if self._b.kept is not None:
                     self._b.kept.told_full(self._connection, self._b.clock() - self._written_at)
             case 410:
@@ -372,15 +379,15 @@
                 log.error("backend server %s turned away what it cannot use: %d", self.server, head.status)
             case _:
                 how = ERROR
-        for request in list(self.items):
-            self._end(request, how, **more)
+        self._end_all(how, **more)
 
     def _judge_batch(self, body: bytes, more: dict) -> None:
         states = {}
         try:
             lines = json.loads(body)
-            if not isinstance(lines, list) or not all(STATES[line["state"]] for line in lines):
-                raise http.BadAnswer("no list of states")
+            if not isinstance(lines, list) or not all(STATES[line["state"]] for line in lines) or (
+                    len({str(line["id"]) for line in lines}) < len(lines)):
+                raise http.BadAnswer("no list of states, one for each id")
             states = {str(line["id"]): line["state"] for line in lines}
         except (ValueError, TypeError, KeyError, RecursionError) as bad:
             # Danger: any JSON may come. An item without a state that can be read may have run.
