End what has no try left at a restart, and survive settings that changed between two lives

Seen, each by a story: a message whose last dispatch was out at a SIGKILL went out once more after the restart, beyond `max-attempts`. A class that goes in order since the restart, and a key that is not hexadecimal: the start ended with a traceback, and so did every further one. A class that is gone: its messages ended without a line in the log. A clock that was set back an hour: a message was held for an hour.

A class with another effect goes by the new one, and needed nothing.

Lines at fault: Lives.take_up, which asked `books.order_key` without a thought for Refused, and passed on what had used up its tries and whatever time the record said.

--- a/linkdock/sender/lives.py
+++ b/linkdock/sender/lives.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
@@ -16,6 +17,9 @@
     from ..undeliverable.facts import Message
 
 
+log = logging.getLogger(__name__)
+
+
 class Lives:
     """Requests that no client waits for: they begin, or go, by the journal alone."""
 
@@ -26,6 +30,7 @@
         """Take up what is owed by the journal, and by nobody else any more."""
         b = self._b
         now, unix = b.clock(), time.time()
+        longest = 2 * max(cls.deadline for cls in b.rules.settings.classes)
         for kept in left:
             if b.observer is not None:
                 b.observer.restored(kept)
@@ -42,9 +47,11 @@
                 b.notices.post(kept.notice)
                 continue
             cls = b.rules.classes.get(kept.cls)
-            safe = cls is not None and b.rules.repeatable(cls)
-            if cls is None or kept.doubt and not safe:
-                # It may have run and may not be repeated: nobody can know more, so that it ends now.
+            if cls is None:
+                log.warning("%s of the class %r, which is not configured, ends undelivered", kept.id, kept.cls)
+            if (cls is None or kept.doubt and not b.rules.repeatable(cls)
+                    or kept.used >= b.rules.settings.max_attempts):
+                # It may have run and may not be repeated, or has no try left: nobody can do more, so that it ends now.
                 if again:
                     self._ends.over_again(kept.id, False)
                     continue
@@ -55,13 +62,18 @@
                 if b.observer is not None:
                     b.observer.over(kept.id, "undeliverable", kept.until - unix)
                 continue
-            rest = max(0.0, kept.until - unix)
+            # Danger: a clock that was set back. No client is given more than the front lets it ask for.
+            rest = min(max(0.0, kept.until - unix), longest)
             request = Request(kept.id, kept.key, cls, kept.destination, now + rest, kept.body)
+            try:
+                order = b.order_key(request)
+            except Refused as why:   # its class did not go in order when it was taken on
+                log.warning("%s goes in no order: %s", kept.id, why)
+                order = 0
             b.requests.add(request)
             if b.figures is not None:
                 b.figures.came += 1
-            b.facade.report(Take(kept.id, cls, kept.destination, rest, b.order_key(request), held=True,
-                                 used=kept.used))
+            b.facade.report(Take(kept.id, cls, kept.destination, rest, order, held=True, used=kept.used))
 
     def resend(self, message: Message) -> bool:
         """Take one that could not be delivered on again, as new work with a deadline of its own; False where it cannot.
