--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -21,7 +21,9 @@
 
 TAKE, SENT, NEVER, NOTICE, END, MOVED = b"T", b"S", b"N", b"O", b"E", b"M"
 MOST_MOVED = 1000               # requests that one record may name
-HEAD = struct.Struct("<IIcH")   # length and check sum of what follows, kind, length of the JSON head
+HEAD = struct.Struct("<IIcH")   # length and check sum of what follows, kind, length of the JSON head,
+HEAD_BEGINS = b'{"i'            # which begins with `id` or `in`
+MOST_NUMBER = 1 << 53           # of what stands in a record
 BLOCK = 512                     # the folder is counted in whole blocks
 FILE_PART = 0.55                # of the folder that the file may take; the rest is for its successor,
 NEARLY = 0.9                    # of that, from which it is as good as full
@@ -50,28 +52,82 @@
         return len(self.body) + 256
 
 
-def records(data: bytes) -> Iterator[tuple[int, bytes, dict, bytes]]:
-    """The whole records of a journal: where each ends, its kind, head and body. A torn one ends them."""
+def records(data: bytes) -> Iterator[tuple[int, bytes, bytes, bytes]]:
+    """The whole records of a journal: where each ends, its kind, head and body. A torn one ends them.
+
+    Danger: a byte that the disk has spoilt, or a block of zeros. What follows is looked for by how every head begins.
+    """
     at = 0
-    while at + HEAD.size <= len(data):
+    while at >= 0 and at + HEAD.size <= len(data):
         length, check, kind, head_size = HEAD.unpack_from(data, at)
-        body = data[at + 8:at + 8 + length]
-        if length > MOST_RECORD or len(body) < length or zlib.crc32(body) != check:
+        whole = HEAD.size - 8 <= length <= MOST_RECORD
+        rest = data[at + 8:at + 8 + length] if whole else b""
+        if whole and len(rest) < length:
             return
-        rest = data[at + HEAD.size:at + 8 + length]
-        at += 8 + length
-        yield at, kind, json.loads(rest[:head_size]), rest[head_size:]
+        if whole and zlib.crc32(rest) == check:
+            at += 8 + length
+            rest = rest[HEAD.size - 8:]
+            yield at, kind, rest[:head_size], rest[head_size:]
+        else:
+            at = max(-1, data.find(HEAD_BEGINS, at + 1 + HEAD.size) - HEAD.size)
+
+
+def replay(path: Path, data: bytes) -> tuple[dict[str, Kept], int]:
+    """What a journal's records come to, and where the last whole one ends. One that is no use costs itself alone."""
+    kept: dict[str, Kept] = {}
+    end = spoilt = 0
+    why: object = "spoilt"
+    for last, kind, text, body in records(data):
+        spoilt += last - end > HEAD.size + len(text) + len(body)
+        end = last
+        try:
+            head = json.loads(text)
+            if kind != MOVED:
+                apply(kept, kind, head, body)
+            elif not (path.parent / head["in"]).exists():   # else the kill came before its file was in its place
+                for request in head["ids"]:
+                    kept.pop(request, None)
+        except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as bad:
+            spoilt, why = spoilt + 1, f"{type(bad).__name__}: {bad!s:.80}"
+    if spoilt:
+        log.error("journal: %s: %d records cannot be used, and are passed over: %s", path.name, spoilt, why)
+    return kept, end
+
+
+def _whole(head: dict, body: bytes) -> Kept:
+    """Raises ValueError or TypeError for a record that no version with this shape of records has written."""
+    doubt = head.pop("doubt", [])
+    kept = Kept(**head, body=body, doubt=set(doubt))
+    numbers = (kept.destination, kept.used, *doubt)
+    if not (all(isinstance(word, str) for word in (kept.id, kept.key, kept.cls)) and all(map(_number, numbers))
+            and type(kept.until) in (int, float) and abs(kept.until) < MOST_NUMBER
+            and (kept.notice is None or _notice(kept.id, kept.notice))):
+        raise ValueError("a message with values out of range")
+    return kept
+
+
+def _number(told: object) -> bool:
+    return type(told) is int and 0 <= told < MOST_NUMBER
+
+
+def _notice(request: str, told: object) -> bool:
+    return isinstance(told, dict) and told.get("id") == request and isinstance(told.get("status"), str)
 
 
 def apply(kept: dict[str, Kept], kind: bytes, head: dict, body: bytes) -> int:
-    """Take one record in; by how many bytes more or less is owed."""
+    """Take one record in; by how many bytes more or less is owed. Where it raises, nothing has changed."""
     if kind == TAKE:
-        doubt = set(head.pop("doubt", ()))
-        fresh = kept[head["id"]] = Kept(**head, body=body, doubt=doubt)
-        return fresh.size()
+        fresh = _whole(head, body)
+        before = kept.get(fresh.id)
+        kept[fresh.id] = fresh
+        return fresh.size() - (0 if before is None else before.size())
+    if kind not in (SENT, NEVER, NOTICE, END):
+        raise ValueError(f"kind {kind!r}")
     one = kept.get(head["id"])
     if one is None:
         return 0
+    if kind in (SENT, NEVER) and not _number(head["n"]) or kind == NOTICE and not _notice(one.id, head["notice"]):
+        raise ValueError(f"values out of range for {one.id}")
     if kind == SENT:
         one.used = max(one.used, head["n"] + 1)
         one.doubt.add(head["n"])
@@ -86,18 +142,10 @@
 
 def owed(path: Path) -> dict[str, Kept]:
     """What a journal that is nobody's any more still holds. Raises OSError other than that there is none."""
-    kept: dict[str, Kept] = {}
     try:
-        data = path.read_bytes()
+        return replay(path, path.read_bytes())[0]
     except FileNotFoundError:
-        return kept
-    for _, kind, head, body in records(data):
-        if kind != MOVED:
-            apply(kept, kind, head, body)
-        elif not (path.parent / head["in"]).exists():   # else the kill came before its file was in its place
-            for request in head["ids"]:
-                kept.pop(request, None)
-    return kept
+        return {}
 
 
 class Journal:
@@ -119,9 +167,8 @@
 
     def _load(self) -> int:
         data = self._path.read_bytes()
-        at = 0
-        for at, kind, head, body in records(data):   # noqa: B007: where the last whole one ends
-            self._live += apply(self.kept, kind, head, body)
+        self.kept, at = replay(self._path, data)
+        self._live = sum(kept.size() for kept in self.kept.values())
         if at < len(data):
             # Danger: a record torn by SIGKILL. What follows it is unreadable, so that new ones must not.
             log.warning("journal: cut off %d torn bytes", len(data) - at)
--- a/tests/test_races_restart.py
+++ b/tests/test_races_restart.py
@@ -1,6 +1,9 @@
 """Races of a restart: what one life left, whatever the next one's settings are, and a journal that has suffered."""
 
+import json
+import struct
 import time
+import zlib
 
 import pytest
 from peers import CLASSES, UNHURRIED, Backend, owed, settings, settled
@@ -104,3 +107,73 @@
     began = time.monotonic()
     program.start()
     assert program.discovery.notice()["id"] == "aa01" and time.monotonic() - began < 10
+
+
+# --- A journal that has suffered.
+
+
+def record(kind, head, body=b""):
+    text = head if isinstance(head, bytes) else json.dumps(head).encode()
+    rest = kind + struct.pack("<H", len(text)) + text + body
+    return struct.pack("<II", len(rest), zlib.crc32(rest)) + rest
+
+
+HEAD = {"id": "bad", "key": "0", "cls": "preview", "destination": 1, "until": 2e9, "used": 0, "doubt": []}
+SPOILT = {
+    "zeros": bytes(4096), "noise": bytes(range(256)) * 3, "a length of none": struct.pack("<II", 0, 0),
+    "another version": record(b"T", {**HEAD, "shade": 1}), "an unknown kind": record(b"Z", HEAD),
+    "no id": record(b"E", {}), "no object": record(b"N", [1]), "no JSON": record(b"T", b"\xff{"),
+    "deep": record(b"T", b"[" * 60_000), "a short head": struct.pack("<II", 2, zlib.crc32(b"T\0")) + b"T\0",
+    "no name": record(b"T", {**HEAD, "id": 7}), "no time": record(b"T", {**HEAD, "until": "soon"}),
+    "never": record(b"T", {**HEAD, "until": float("nan")}), "for ever": record(b"T", {**HEAD, "until": 10 ** 400}),
+    "no number": record(b"T", {**HEAD, "used": -1}), "tries": record(b"T", {**HEAD, "doubt": ["0"]}),
+    "nowhere": record(b"T", {**HEAD, "destination": 1 << 70}), "no notice": record(b"T", {**HEAD, "notice": 3}),
+    "an odd try": record(b"S", {"id": "aa01", "n": "x"}), "a long try": record(b"S", {"id": "aa01", "n": 1 << 80}),
+    "an odd notice": record(b"O", {"id": "aa01", "notice": {}}), "moved": record(b"M", {"in": "x", "ids": [[]]}),
+    "a try of none": record(b"S", {"id": "aa01"})}
+
+
+@pytest.mark.parametrize("spoilt", SPOILT.values(), ids=SPOILT)
+def test_a_spoilt_record_costs_itself_and_nothing_else(tmp_path, spoilt, caplog):
+    journal = Journal(tmp_path, 3_000_000)
+    journal.take(message("aa01"))
+    journal.close()
+    with open(tmp_path / "journal", "ab") as file:
+        file.write(spoilt)
+    with open(tmp_path / "journal", "ab") as file:
+        file.write(record(b"T", {**HEAD, "id": "aa02"}, b"two") + record(b"S", {"id": "aa01", "n": 0}))
+    after = Journal(tmp_path, 3_000_000)
+    assert set(after.kept) == {"aa01", "aa02"} and after.kept["aa02"].body == b"two"
+    assert after.kept["aa01"].doubt == {0} and after.kept["aa01"].used == 1 and after.kept["aa01"].notice is None
+    assert "journal" in caplog.text
+    after.end("aa01")
+    after.close()
+    assert set(Journal(tmp_path, 3_000_000).kept) == {"aa02"}
+
+
+def test_a_byte_that_has_flipped_costs_one_record(tmp_path):
+    journal = Journal(tmp_path, 3_000_000)
+    for n in range(3):
+        journal.take(message(f"aa0{n}", body=b"x" * 40))
+    journal.close()
+    data = (tmp_path / "journal").read_bytes()
+    for at in range(len(data) // 3 + 4, 2 * len(data) // 3):   # beyond its length: one too long looks torn
+        (tmp_path / "journal").write_bytes(data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1:])
+        after = Journal(tmp_path, 3_000_000)
+        assert set(after.kept) == {"aa00", "aa02"}, at
+        after.close()
+
+
+def test_wherever_a_journal_is_cut_what_stands_before_counts(tmp_path):
+    journal = Journal(tmp_path, 3_000_000)
+    for n in range(3):
+        journal.take(message(f"aa0{n}"))
+    journal.close()
+    data = (tmp_path / "journal").read_bytes()
+    for size in range(len(data)):
+        (tmp_path / "journal").write_bytes(data[:size])
+        after = Journal(tmp_path, 3_000_000)
+        assert len(after.kept) == size * 3 // len(data)
+        assert after.take(message("bb01"))
+        after.close()
+        assert "bb01" in Journal(tmp_path, 3_000_000).kept
