--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import os
@@ -148,6 +149,12 @@
         return {}
 
 
+def _remove(path: Path) -> None:
+    """Of what was written in vain. Danger: a folder that can only be read: what serves must go on."""
+    with contextlib.suppress(OSError):
+        path.unlink()
+
+
 class Journal:
     """Owner of the file and of the record of each request in it, from `take` to `end`."""
 
@@ -157,7 +164,7 @@
         self.hold_at_most(FILE_PART, LIVE_PART)
         self.kept: dict[str, Kept] = {}
         self._holds: dict[str, bool] = {}   # what is not to be let go of yet: whether its end has come
-        self._live = 0
+        self._live, self._torn = 0, False
         # A rewrite that the end of the process cut short: the old file still holds everything.
         self._next.unlink(missing_ok=True)
         self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -209,15 +216,17 @@
         if self._size + len(data) > most:
             return False
         try:
-            written = os.write(self._file, data)
-            if written < len(data):
+            if self._torn:
+                # Danger: half a record would hide all that follow it, and a disk that is ill may not let go of it.
+                os.ftruncate(self._file, self._size)
+            self._torn = True
+            if os.write(self._file, data) < len(data):
                 raise OSError("short write")
-        except OSError as bad:
-            # Danger: a full folder. Half a record would hide all that follow it.
+        except OSError as bad:   # a full folder, or one that can only be read
             log.error("journal: %s", bad)
-            os.ftruncate(self._file, self._size)
             return False
-        self._size += written
+        self._torn = False
+        self._size += len(data)
         return True
 
     def _compact(self) -> bool:
@@ -235,10 +244,10 @@
             log.error("journal: not rewritten: %s", bad)
             if fresh is not None:
                 os.close(fresh)
-            self._next.unlink(missing_ok=True)
+                _remove(self._next)
             return False
         os.close(self._file)
-        self._file, self._size = fresh, len(data)
+        self._file, self._size, self._torn = fresh, len(data), False
         return True
 
     def full(self) -> bool:
@@ -246,8 +255,10 @@
         return self._live > NEARLY * self._most_live
 
     def take(self, kept: Kept) -> bool:
-        """Keep a request; False where there is no room, and it must be denied."""
-        if self._live + kept.size() > self._most_live or not self._append(self._take_record(kept)):
+        """Keep a request; False where there is no room, or its id is owed already, and it must be denied."""
+        # Danger: an id whose notice is still owed. What ends with the notice would be the second one's record.
+        if (kept.id in self.kept or self._live + kept.size() > self._most_live
+                or not self._append(self._take_record(kept))):
             return False
         self.kept[kept.id] = kept
         self._live += kept.size()
@@ -282,10 +293,10 @@
                 os.close(file)
         except OSError as bad:
             log.error("journal: nothing is handed over: %s", bad)
-            beside.unlink(missing_ok=True)
+            _remove(beside)
             return False
         if not self._append(self._record(MOVED, {"in": beside.name, "ids": requests})):
-            beside.unlink()
+            _remove(beside)
             return False
         try:
             os.replace(beside, path)
@@ -300,7 +311,7 @@
         if head["id"] not in self.kept:
             return False
         done = self._append(self._record(kind, head))
-        if done or kind == END:   # an end that could not be written is at worst told again
+        if done or kind in (NOTICE, END):   # an end that could not be written is at worst told again
             self._live += apply(self.kept, kind, head, b"")
         return done
 
--- a/tests/test_races_restart.py
+++ b/tests/test_races_restart.py
@@ -1,6 +1,8 @@
 """Races of a restart: what one life left, whatever the next one's settings are, and a journal that has suffered."""
 
+import errno
 import json
+import os
 import struct
 import time
 import zlib
@@ -8,6 +10,7 @@
 import pytest
 from peers import CLASSES, UNHURRIED, Backend, owed, settings, settled
 
+from linkdock.state import journal as journals
 from linkdock.state.journal import Journal, Kept
 
 
@@ -177,3 +180,81 @@
         assert after.take(message("bb01"))
         after.close()
         assert "bb01" in Journal(tmp_path, 3_000_000).kept
+
+
+def test_an_id_that_is_owed_already_is_not_taken_on_once_more(tmp_path):
+    journal = Journal(tmp_path, 100_000)
+    assert journal.take(message("aa01", body=b"x" * 9000))
+    journal.notice("aa01", {"id": "aa01", "status": "deferred"})
+    assert not journal.take(message("aa01", body=b"another"))
+    journal.end("aa01")
+    assert journal.take(message("aa01"))
+    journal.close()
+    with open(tmp_path / "journal", "ab") as file:   # an earlier version wrote so
+        file.write(record(b"T", {**HEAD, "id": "aa01"}, b"x" * 30_000) * 3)
+    after = Journal(tmp_path, 100_000)
+    assert set(after.kept) == {"aa01"} and after.take(message("aa02", body=b"x" * 2000))
+
+
+# --- A disk that is full, or can only be read.
+
+
+class IllOs:
+    """The calls that change a disk fail from the nth on; a write may leave half of it there."""
+
+    CHANGES = ("write", "open", "ftruncate", "replace", "unlink")
+
+    def __init__(self, well_for, half):
+        self.left, self.half = well_for, half
+
+    def __getattr__(self, name):
+        return self.call(name) if name in self.CHANGES else getattr(os, name)
+
+    def call(self, name):
+        def tried(*arguments, **more):
+            if self.left <= 0 and not (name == "open" and not arguments[1] & os.O_CREAT):
+                if name == "write" and self.half:
+                    os.write(arguments[0], arguments[1][:len(arguments[1]) // 2])
+                raise OSError(errno.EROFS, "Read-only file system")
+            self.left -= 1
+            return getattr(os, name)(*arguments, **more)
+        return tried
+
+
+def on_an_ill_disk(folder, monkeypatch, ill):
+    journal = Journal(folder, 40_000)
+    monkeypatch.setattr(journals, "os", ill)
+    monkeypatch.setattr(journals.Path, "unlink", lambda self, missing_ok=False: ill.unlink(self))
+    taken, sent = set(), set()
+    for n in range(12):
+        name = f"aa{n:02}"
+        if journal.take(message(name, body=b"x" * 1500)):
+            taken.add(name)
+        if journal.sent(name, 0):
+            sent.add(name)
+        journal.never(name, 0)
+        journal.notice(name, {"id": name, "status": "undeliverable"})
+        if n % 3 == 0:
+            journal.end(name)
+            taken.discard(name)
+    journal.adopt([message("cc01")])
+    journal.hand_over(sorted(taken)[:1], folder / "handed.1.1", folder / "journal.2")
+    monkeypatch.undo()
+    assert all(kept.notice for kept in journal.kept.values() if kept.id in taken)   # a rewrite puts it on record
+    assert journal.take(message("bb01")) and journal.sent("bb01", 3)
+    journal.close()
+    after = {**journals.owed(folder / "journal"), **journals.owed(folder / "journal.2")}
+    assert taken <= after.keys() and after["bb01"].used == 4
+    assert all(after[name].used for name in sent & taken)
+
+
+@pytest.mark.parametrize("half", [False, True])
+def test_a_disk_that_takes_no_more_stops_nothing_that_serves(tmp_path, monkeypatch, half):
+    """From any call on: nothing raises, what is said to be on record is, and all goes on once it takes files again."""
+    for begins in range(200):
+        (folder := tmp_path / str(begins)).mkdir()
+        ill = IllOs(begins, half)
+        on_an_ill_disk(folder, monkeypatch, ill)
+        if ill.left > 0:
+            return
+    raise AssertionError("it never came to its end")
