Let two processes that change the list of what is out by hand one after the other

Seen, by a unit that calls the second process right before the first one's file is in its place: each reads the list, adds its endpoint and replaces the file; both operators hear a yes, and the first process's look then takes the endpoint that was lost for one that came back, and sends to it. A time of 400 digits in the file raised OverflowError and ended the start. A file that cannot be read was logged at every look, 20 lines a second while two processes live.

Checked and ruled out: a kill at any moment leaves the list before or after; a reader that comes between the look at the file and its reading reads it once more at its next look.

Lines at fault: Rotation.take_out, put_back and forget, which held nothing between their read and their replacement; read, which marked the file as read only when it could be read.

--- a/linkdock/state/rotation.py
+++ b/linkdock/state/rotation.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import fcntl
 import json
 import logging
 import os
 from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 from ..errors import LinkdockError, log_line
@@ -66,33 +68,48 @@
             mark = about.st_ino, about.st_mtime_ns, about.st_size
             if mark == self._read_of:
                 return
-            told = json.loads(self._path.read_bytes())
+            data = self._path.read_bytes()
+            self._read_of = mark   # what cannot be read is not tried again until it has changed
+            told = json.loads(data)
             if not isinstance(told, dict) or told.get("version") != VERSION:
                 raise ValueError(f"no version {VERSION}")
             self._out = {str(name): float(since) for name, since in told["out"].items()}
-            self._read_of = mark
         except FileNotFoundError:
             self._out, self._read_of = {}, ()
-        except (OSError, ValueError, TypeError, KeyError, AttributeError, RecursionError) as bad:
-            log.error("%s", log_line(RotationError(f"{self._path}: endpoints out by hand are not known: {bad}")))
+        except (OSError, ValueError, TypeError, KeyError, AttributeError, OverflowError, RecursionError) as bad:
+            log.error("%s", log_line(RotationError(f"{self._path}: endpoints out by hand are not known: {bad!s:.200}")))
+
+    @contextmanager
+    def _alone(self) -> Iterator[None]:
+        """Danger: both processes of an upgrade change the list at once, and what one has said yes to is lost.
+
+        Raises OSError where the other one is just at it: the operator hears a no, and calls again.
+        """
+        folder = os.open(self._path.parent, os.O_RDONLY)
+        try:
+            fcntl.flock(folder, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            self.read()
+            yield
+        finally:
+            os.close(folder)
 
     def take_out(self, name: str) -> bool:
         """Whether it was not out before. Raises TooMany, or OSError where it cannot be kept: nothing has changed."""
-        self.read()   # the other process of an upgrade may have written
-        if name in self._out:
-            return False
-        if len(self._out) >= MOST_OUT:
-            raise TooMany(f"{MOST_OUT} endpoints are out already")
-        self._write({**self._out, name: self._clock()})
+        with self._alone():
+            if name in self._out:
+                return False
+            if len(self._out) >= MOST_OUT:
+                raise TooMany(f"{MOST_OUT} endpoints are out already")
+            self._write({**self._out, name: self._clock()})
         return True
 
     def put_back(self, name: str) -> float | None:
         """Since when it was out; None if it was not. Raises OSError where that cannot be kept."""
-        self.read()
-        if name not in self._out:
-            return None
-        since = self._out[name]
-        self._write({other: at for other, at in self._out.items() if other != name})
+        with self._alone():
+            if name not in self._out:
+                return None
+            since = self._out[name]
+            self._write({other: at for other, at in self._out.items() if other != name})
         return since
 
     def _write(self, out: dict[str, float]) -> None:
@@ -114,6 +131,7 @@
         if gone:
             log.info("endpoints out by hand that are long gone: %s", ", ".join(gone))
             try:
-                self._write({name: at for name, at in self._out.items() if name not in gone})
+                with self._alone():
+                    self._write({name: at for name, at in self._out.items() if name not in gone})
             except OSError as bad:
                 log.error("%s", log_line(RotationError(f"{self._path}: {bad}")))
