Name no more messages in one record of a hand-over than its head has room for

Seen, by a unit: a thousand waiting messages with the longest ids that a client may use (64) make a head of 67 KB, whose length has two bytes. struct.error came out of the middle of a tick of a process that was told to end, which then ended as a crash, with nothing handed over.

Checked and ruled out: the head of a message is at most 0.4 KB, and its body is counted apart. What is beyond the 900 goes with the next look, 50 ms later.

Line at fault: MOST_MOVED.

--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -21,7 +21,7 @@
 log = logging.getLogger(__name__)
 
 TAKE, SENT, NEVER, NOTICE, END, MOVED = b"T", b"S", b"N", b"O", b"E", b"M"
-MOST_MOVED = 1000               # requests that one record may name
+MOST_MOVED = 900                # requests that one record may name: the longest ids fit into its head
 HEAD = struct.Struct("<IIcH")   # length and check sum of what follows, kind, length of the JSON head,
 HEAD_BEGINS = b'{"i'            # which begins with `id` or `in`
 MOST_NUMBER = 1 << 53           # of what stands in a record
--- a/tests/test_races_handover.py
+++ b/tests/test_races_handover.py
@@ -4,10 +4,13 @@
 from types import SimpleNamespace
 
 import pytest
+from test_succession import kept, shift
 
 from linkdock.protocol.admin import Refusal
 from linkdock.service.operations import Operations
+from linkdock.state import journal as journals
 from linkdock.state import rotation as rotations
+from linkdock.state.journal import MOST_MOVED, owed
 from linkdock.state.rotation import Rotation
 
 # --- What operators tell both.
@@ -47,3 +50,53 @@
         out.read()
     assert not len(out) and caplog.text.count("not known") == 1
     assert out.take_out("s1") and "s1" in Rotation(tmp_path / "rotation", time.time)
+
+
+# --- What is handed over.
+
+
+def test_a_thousand_with_the_longest_ids_can_be_handed_over(tmp_path):
+    old, names = shift(tmp_path), [f"{n:064}" for n in range(1000)]
+    assert all(old.journal.take(kept(name)) for name in names)
+    assert old.hand_over(names[:MOST_MOVED]) and len(old.journal.kept) == 1000 - MOST_MOVED
+    assert set(shift(tmp_path).journal.kept) == set(names[:MOST_MOVED])
+    old.close()
+
+
+def alone(process):
+    """What a process takes up at its looks."""
+    taken = []
+    process._sender = SimpleNamespace(take_up=taken.extend, hold_at_most=lambda most: None)
+    process._facade = SimpleNamespace(hold_slots=lambda slots: None)
+    return taken
+
+
+def test_what_a_dead_process_left_is_taken_up_but_for_a_record_that_is_spoilt(tmp_path):
+    old, new = shift(tmp_path), shift(tmp_path)
+    for name in ("a", "b"):
+        old.journal.take(kept(name))
+    old.close()
+    path = tmp_path / "journal.1"
+    path.write_bytes(path.read_bytes().replace(b'"destination":1', b'"destination":x', 1))
+    taken = alone(new)
+    new.look()
+    new.look()
+    assert [one.id for one in taken] == ["b"] and not path.exists()
+    new.close()
+
+
+def test_a_survivor_whose_disk_is_full_takes_up_what_is_left_once_there_is_room(tmp_path, monkeypatch):
+    old, new = shift(tmp_path), shift(tmp_path)
+    old.journal.take(kept("a"))
+    old.close()
+    taken = alone(new)
+
+    def full(*arguments):
+        raise OSError(28, "No space left on device")
+    monkeypatch.setattr(journals, "os", SimpleNamespace(**{**vars(journals.os), "write": full}))
+    new.look()
+    assert not taken and set(owed(tmp_path / "journal.1")) == {"a"} and not new.journal.kept
+    monkeypatch.undo()
+    new.look()
+    assert [one.id for one in taken] == ["a"] and not (tmp_path / "journal.1").exists()
+    new.close()
