--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -279,9 +279,8 @@
         requests = [self._requests[r] for r in self.items]
         self._single = len(requests) == 1
         if self._single:
-            headers["X-Trace-Id"] = requests[0].id
-            if requests[0].idempotency_key:
-                headers["Idempotency-Key"] = requests[0].idempotency_key
+            headers["X-Trace-Id"], key = requests[0].id, requests[0].idempotency_key
+            headers |= {"Idempotency-Key": key} if key else {}
             return http.request("POST", "/v1/messages", dial, headers, requests[0].body)
         headers["Content-Type"] = "application/json"
         body = json.dumps([{"id": r.id, "key": r.idempotency_key or r.key, "body": base64.b64encode(r.body).decode()}
--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import os
@@ -20,8 +21,10 @@
 log = logging.getLogger(__name__)
 
 TAKE, SENT, NEVER, NOTICE, END, MOVED = b"T", b"S", b"N", b"O", b"E", b"M"
-MOST_MOVED = 1000               # requests that one record may name
-HEAD = struct.Struct("<IIcH")   # length and check sum of what follows, kind, length of the JSON head
+MOST_MOVED = 900                # requests that one record may name: the longest ids fit into its head
+HEAD = struct.Struct("<IIcH")   # length and check sum of what follows, kind, length of the JSON head,
+HEAD_BEGINS = b'{"i'            # which begins with `id` or `in`
+MOST_NUMBER = 1 << 53           # of what stands in a record
 BLOCK = 512                     # the folder is counted in whole blocks
 FILE_PART = 0.55                # of the folder that the file may take; the rest is for its successor,
 NEARLY = 0.9                    # of that, from which it is as good as full
@@ -52,28 +55,85 @@
         return len(self.body) + 256
 
 
-def records(data: bytes) -> Iterator[tuple[int, bytes, dict, bytes]]:
-    """The whole records of a journal: where each ends, its kind, head and body. A torn one ends them."""
+def records(data: bytes) -> Iterator[tuple[int, bytes, bytes, bytes]]:
+    """The whole records of a journal: where each ends, its kind, head and body. A torn one ends them.
+
+    Danger: a byte that the disk has spoilt, or a block of zeros. What follows is looked for by how every head begins.
+    """
     at = 0
-    while at + HEAD.size <= len(data):
+    while at >= 0 and at + HEAD.size <= len(data):
         length, check, kind, head_size = HEAD.unpack_from(data, at)
-        body = data[at + 8:at + 8 + length]
-        if length > MOST_RECORD or len(body) < length or zlib.crc32(body) != check:
+        whole = HEAD.size - 8 <= length <= MOST_RECORD
+        rest = data[at + 8:at + 8 + length] if whole else b""
+        if whole and len(rest) < length:
             return
-        rest = data[at + HEAD.size:at + 8 + length]
-        at += 8 + length
-        yield at, kind, json.loads(rest[:head_size]), rest[head_size:]
+        if whole and zlib.crc32(rest) == check:
+            at += 8 + length
+            rest = rest[HEAD.size - 8:]
+            yield at, kind, rest[:head_size], rest[head_size:]
+        else:
+            behind = at + 8 + length
+            fits = whole and (behind == len(data) or data.startswith(HEAD_BEGINS, behind + HEAD.size))
+            at = behind if fits else max(-1, data.find(HEAD_BEGINS, at + 1 + HEAD.size) - HEAD.size)
+
+
+def replay(path: Path, data: bytes) -> tuple[dict[str, Kept], int]:
+    """What a journal's records come to, and where the last whole one ends. One that is no use costs itself alone."""
+    kept: dict[str, Kept] = {}
+    end = spoilt = 0
+    why: object = "spoilt"
+    for last, kind, text, body in records(data):
+        spoilt += last - end > HEAD.size + len(text) + len(body)
+        end = last
+        try:
+            head = json.loads(text)
+            if kind != MOVED:
+                apply(kept, kind, head, body)
+            elif not (path.parent / head["in"]).exists():   # else the kill came before its file was in its place
+                for request in head["ids"]:
+                    kept.pop(request, None)
+        except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as bad:
+            spoilt, why = spoilt + 1, f"{type(bad).__name__}: {bad!s:.80}"
+    if spoilt:
+        log.error("journal: %s: %d records cannot be used, and are passed over: %s", path.name, spoilt, why)
+    return kept, end
+
+
+def _whole(head: dict, body: bytes) -> Kept:
+    """Raises ValueError or TypeError for a record that no version with this shape of records has written."""
+    doubt = head.pop("doubt", [])
+    kept = Kept(**head, body=body, doubt=set(doubt))
+    numbers = (kept.destination, kept.used, *doubt)
+    if not (all(isinstance(word, str) for word in (
+            kept.id, kept.key, kept.cls, kept.tenant, kept.idempotency_key)) and all(map(_number, numbers))
+            and type(kept.until) in (int, float) and abs(kept.until) < MOST_NUMBER
+            and (kept.notice is None or _notice(kept.id, kept.notice))):
+        raise ValueError("a message with values out of range")
+    return kept
+
+
+def _number(told: object) -> bool:
+    return type(told) is int and 0 <= told < MOST_NUMBER
+
+
+def _notice(request: str, told: object) -> bool:
+    return isinstance(told, dict) and told.get("id") == request and isinstance(told.get("status"), str)
 
 
 def apply(kept: dict[str, Kept], kind: bytes, head: dict, body: bytes) -> int:
-    """Take one record in; by how many bytes more or less is owed."""
+    """Take one record in; by how many bytes more or less is owed. Where it raises, nothing has changed."""
     if kind == TAKE:
-        doubt = set(head.pop("doubt", ()))
-        fresh = kept[head["id"]] = Kept(**head, body=body, doubt=doubt)
-        return fresh.size()
+        fresh = _whole(head, body)
+        before = kept.get(fresh.id)
+        kept[fresh.id] = fresh
+        return fresh.size() - (0 if before is None else before.size())
+    if kind not in (SENT, NEVER, NOTICE, END):
+        raise ValueError(f"kind {kind!r}")
     one = kept.get(head["id"])
     if one is None:
         return 0
+    if kind in (SENT, NEVER) and not _number(head["n"]) or kind == NOTICE and not _notice(one.id, head["notice"]):
+        raise ValueError(f"values out of range for {one.id}")
     if kind == SENT:
         one.used = max(one.used, head["n"] + 1)
         one.doubt.add(head["n"])
@@ -88,18 +148,16 @@
 
 def owed(path: Path) -> dict[str, Kept]:
     """What a journal that is nobody's any more still holds. Raises OSError other than that there is none."""
-    kept: dict[str, Kept] = {}
     try:
-        data = path.read_bytes()
+        return replay(path, path.read_bytes())[0]
     except FileNotFoundError:
-        return kept
-    for _, kind, head, body in records(data):
-        if kind != MOVED:
-            apply(kept, kind, head, body)
-        elif not (path.parent / head["in"]).exists():   # else the kill came before its file was in its place
-            for request in head["ids"]:
-                kept.pop(request, None)
-    return kept
+        return {}
+
+
+def _remove(path: Path) -> None:
+    """Of what was written in vain. Danger: a folder that can only be read: what serves must go on."""
+    with contextlib.suppress(OSError):
+        path.unlink()
 
 
 class Journal:
@@ -111,7 +169,7 @@
         self.hold_at_most(FILE_PART, LIVE_PART)
         self.kept: dict[str, Kept] = {}
         self._holds: dict[str, bool] = {}   # what is not to be let go of yet: whether its end has come
-        self._live = 0
+        self._live, self._torn = 0, False
         # A rewrite that the end of the process cut short: the old file still holds everything.
         self._next.unlink(missing_ok=True)
         self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -121,9 +179,8 @@
 
     def _load(self) -> int:
         data = self._path.read_bytes()
-        at = 0
-        for at, kind, head, body in records(data):   # noqa: B007: where the last whole one ends
-            self._live += apply(self.kept, kind, head, body)
+        self.kept, at = replay(self._path, data)
+        self._live = sum(kept.size() for kept in self.kept.values())
         if at < len(data):
             # Danger: a record torn by SIGKILL. What follows it is unreadable, so that new ones must not.
             log.warning("journal: cut off %d torn bytes", len(data) - at)
@@ -167,15 +224,17 @@
         if self._size + len(data) > most:
             return False
         try:
-            written = os.write(self._file, data)
-            if written < len(data):
+            if self._torn:
+                # Danger: half a record would hide all that follow it, and a disk that is ill may not let go of it.
+                os.ftruncate(self._file, self._size)
+            self._torn = True
+            if os.write(self._file, data) < len(data):
                 raise OSError("short write")
-        except OSError as bad:
-            # Danger: a full folder. Half a record would hide all that follow it.
+        except OSError as bad:   # a full folder, or one that can only be read
             log.error("journal: %s", bad)
-            os.ftruncate(self._file, self._size)
             return False
-        self._size += written
+        self._torn = False
+        self._size += len(data)
         return True
 
     def _compact(self) -> bool:
@@ -193,10 +252,10 @@
             log.error("journal: not rewritten: %s", bad)
             if fresh is not None:
                 os.close(fresh)
-            self._next.unlink(missing_ok=True)
+                _remove(self._next)
             return False
         os.close(self._file)
-        self._file, self._size = fresh, len(data)
+        self._file, self._size, self._torn = fresh, len(data), False
         return True
 
     def full(self) -> bool:
@@ -204,8 +263,10 @@
         return self._live > NEARLY * self._most_live
 
     def take(self, kept: Kept) -> bool:
-        """Keep a request; False where there is no room, and it must be denied."""
-        if self._live + kept.size() > self._most_live or not self._append(self._take_record(kept)):
+        """Keep a request; False where there is no room, or its id is owed already, and it must be denied."""
+        # Danger: an id whose notice is still owed. What ends with the notice would be the second one's record.
+        if (kept.id in self.kept or self._live + kept.size() > self._most_live
+                or not self._append(self._take_record(kept))):
             return False
         self.kept[kept.id] = kept
         self._live += kept.size()
@@ -240,10 +301,10 @@
                 os.close(file)
         except OSError as bad:
             log.error("journal: nothing is handed over: %s", bad)
-            beside.unlink(missing_ok=True)
+            _remove(beside)
             return False
         if not self._append(self._record(MOVED, {"in": beside.name, "ids": requests})):
-            beside.unlink()
+            _remove(beside)
             return False
         try:
             os.replace(beside, path)
@@ -258,7 +319,7 @@
         if head["id"] not in self.kept:
             return False
         done = self._append(self._record(kind, head))
-        if done or kind == END:   # an end that could not be written is at worst told again
+        if done or kind in (NOTICE, END):   # an end that could not be written is at worst told again
             self._live += apply(self.kept, kind, head, b"")
         return done
 
