--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 TAKE, SENT, NEVER, NOTICE, END, MOVED = b"T", b"S", b"N", b"O", b"E", b"M"
+SPOILT = b""                    # no record: what is passed over
 MOST_MOVED = 900                # requests that one record may name: the longest ids fit into its head
 HEAD = struct.Struct("<IIcH")   # length and check sum of what follows, kind, length of the JSON head,
 HEAD_BEGINS = b'{"i'            # which begins with `id` or `in`
@@ -75,17 +76,19 @@
             behind = at + 8 + length
             fits = whole and (behind == len(data) or data.startswith(HEAD_BEGINS, behind + HEAD.size))
             at = behind if fits else max(-1, data.find(HEAD_BEGINS, at + 1 + HEAD.size) - HEAD.size)
+            yield at, SPOILT, b"", b""
 
 
 def replay(path: Path, data: bytes) -> tuple[dict[str, Kept], int]:
     """What a journal's records come to, and where the last whole one ends. One that is no use costs itself alone."""
     kept: dict[str, Kept] = {}
     end = spoilt = 0
-    why: object = "spoilt"
-    for last, kind, text, body in records(data):
-        spoilt += last - end > HEAD.size + len(text) + len(body)
-        end = last
+    why = ""
+    for at, kind, text, body in records(data):
         try:
+            if kind == SPOILT:
+                raise ValueError("spoilt")
+            end = at
             head = json.loads(text)
             if kind != MOVED:
                 apply(kept, kind, head, body)
@@ -94,6 +97,9 @@
                     kept.pop(request, None)
         except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as bad:
             spoilt, why = spoilt + 1, f"{type(bad).__name__}: {bad!s:.80}"
+            # Danger: it may have said that one of these was sent. None of them is known to be untried any more.
+            for one in kept.values():
+                one.doubt.add(one.used)
     if spoilt:
         log.error("journal: %s: %d records cannot be used, and are passed over: %s", path.name, spoilt, why)
     return kept, end
