Close every client's connection one way: half-close, then throw away what still comes

Seen: only a protocol error ended with a half-close. Whatever else closed a connection (QUIT, ten errors, the idle limit, one idle too many, want of room, want of memory, a command not whole, the stop) called close() at once. Bytes that come between the look for silence and the close are then unread, the kernel resets the connection, and an answer that was written just before may go with it. Cause: Frontend._drop began with stream.close(); _last_words, the only polite way, served Malformed alone. It also counted eight reads: eight bytes that came one by one ended its patience as half a megabyte did. Now: _drop gives the place back and hands the stream to streams.Parting, which ends the sending side in the same step, throws away what comes for at most 0.5 s and 512 KiB, and closes. Nobody reads on it any more: _more is told at once, so that what was held of a command goes with the place. The operators' address ends its connections by the same function. Beyond the places a sixteenth of them may be parting; the oldest is closed for a newer one. Ruled out: that the answers were still unwritten (TCP_NODELAY is set; Tornado writes at once); that drained bytes reached the desk (they never did; the test says so). Without it: 9 of the 10 ways in test_races_close end in ConnectionResetError; byte by byte, BrokenPipeError.

--- a/linkdock/protocol/admin.py
+++ b/linkdock/protocol/admin.py
@@ -18,15 +18,14 @@
 
 from ..errors import LinkdockError, log_line
 from ..state.wheel import Wheel
+from ..streams import part
 from .listening import Listener
 
 log = logging.getLogger(__name__)
 
 MOST = 24             # connections at once
 MOST_LINE = 512       # bytes
-WHOLE = 5.0           # seconds for a line to come whole,
-LAST = 1.0            # and for its caller to read the answer and close,
-LAST_READS = 8        # in so many reads of what it sends behind its line
+WHOLE = 5.0           # seconds for a line to come whole
 ID = re.compile(r"[!-~]{1,200}\Z")
 
 
@@ -122,15 +121,11 @@
             while b"\n" not in data and len(data) <= MOST_LINE:
                 data += await stream.read_bytes(MOST_LINE, partial=True)
             timer.cancel()
-            timer = self._wheel.after(LAST, lambda: self._drop(stream))
             line, end, _ = data.partition(b"\n")
             whole = end and len(line) <= MOST_LINE
-            await stream.write(answer(self._desk, line) if whole else b"-ERR the line is too long\n")
-            # Danger: closing over bytes that were not read resets the connection, and the answer is lost.
-            stream.socket.shutdown(socket.SHUT_WR)
-            for _ in range(LAST_READS):
-                await stream.read_bytes(MOST_LINE, partial=True)
-        except (StreamClosedError, OSError):
+            stream.write(answer(self._desk, line) if whole else b"-ERR the line is too long\n")
+            await part(stream, None, self._wheel.after)
+        except StreamClosedError:
             pass   # its caller has gone, or its time is over
         finally:
             timer.cancel()
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -16,7 +16,7 @@
 
 from ..state.requests import Busy, Failed, Refused, Request, Taken
 from ..state.wheel import Wheel
-from ..streams import seen, silent, waiting
+from ..streams import Parting, seen, silent, waiting
 from . import resp
 from .door import BAD, BEGUN, BUSY, IDLE, Door, Place
 from .listening import Listener
@@ -33,8 +33,6 @@
 IDLE_FOR = 5.0         # seconds without a command before a connection is closed,
 UNUSED_FOR = 2.0       # and before one that never handed in a message is
 STALLED = 2.0          # seconds for a client to read an answer
-LAST_READS = 8         # reads, and seconds, for what comes after the last answer on a connection
-LAST = 0.5
 PENALTY = 0.05         # seconds that a connection waits after its first error; each further one adds as much
 MOST_ERRORS = 10       # of one connection
 WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
@@ -82,6 +80,8 @@
         self._reads: dict[IOStream, asyncio.Future] = {}   # every connection, with its next read
         self._places: dict[IOStream, Place] = {}           # and its place at the door,
         self._streams: dict[Place, IOStream] = {}          # both ways
+        self._waits: dict[IOStream, asyncio.Future] = {}   # done with the read, or once the connection is given back
+        self._parting = Parting(wheel.after, spawn)        # those given back and not closed yet
         self._closing = False
         self._early = 0                                    # number of the last place that may have waited for the start
         self.observer: Observer | None = None              # of the records, where they are on
@@ -94,7 +94,8 @@
         if gate is not None and gate.arrives(now, host) is not None:
             sock.close()
             return
-        if (self._door.full() or gate is not None and gate.crowded(now, host)) and not self._make_room(host):
+        if (gate is not None and gate.crowded(now, host) and not self._make_room(host)
+                or not self._at_most(self._door.most - 1, host)):
             sock.close()   # all are in the middle of a request; its client has not been read, and comes again
             if gate is not None:
                 gate.no_room(now, host)
@@ -121,15 +122,23 @@
 
     def __len__(self) -> int:
         """Connections of clients."""
-        return len(self._door)
+        return len(self._door) + len(self._parting)
 
     def hold_at_most(self, most: int) -> None:
         """There are so many places from now on; the least missed leave, none while it is answered."""
         self._door.most = most
         if self._gate is not None:
             self._gate.hold_at_most(most)
-        while len(self._door) > most and self._make_room(""):
+        self._at_most(most, "")
+
+    def _at_most(self, most: int, host: str) -> bool:
+        """Whether no more than so many have a place now; a few that were given back may not be closed yet."""
+        while len(self._door) > most:
+            if not self._make_room(host):
+                return False
+        while len(self) > most + self._door.bulk() and self._parting.cut_short():
             pass
+        return True
 
     @staticmethod
     def _read(stream: IOStream) -> asyncio.Future:
@@ -163,11 +172,14 @@
 
     def _drop(self, stream: IOStream, why: str) -> None:
         """The one place where a connection is given back; its `_serve` ends by it, or with it."""
-        stream.close()
         place = self._places.pop(stream, None)
         if place is None:
             return
+        if not stream.closed():
+            self._parting.add(stream, self._reads[stream])
         del self._reads[stream], self._streams[place]
+        if (wait := self._waits.pop(stream, None)) is not None and not wait.done():
+            wait.set_result(None)
         self._door.leave(place)
         if self._gate is not None:
             self._gate.leave(self._wheel.now, place, uselessness(place))
@@ -182,10 +194,12 @@
         parser, why = resp.CommandParser(), "its client left"
         due: float | None = self._wheel.now + WHOLE   # the command's end; none between commands
         try:
-            while stream in self._reads:
+            while True:
                 # Danger: a client that sends without pause. What is there already is answered without
                 # waiting, so that nobody else and no tick would get a turn.
                 await asyncio.sleep(0)
+                if stream not in self._reads:
+                    return
                 try:
                     words = parser.next()
                     if words is None:
@@ -214,8 +228,8 @@
                     self._put(place, BUSY)
         except resp.Malformed as bad:
             why = "malformed"
-            self._put(place, BAD)
-            await self._last_words(stream, resp.error(f"ERR Protocol error: {bad}"))
+            if not stream.closed():
+                stream.write(resp.error(f"ERR Protocol error: {bad}"))
         except StreamClosedError:
             pass
         finally:
@@ -234,21 +248,6 @@
         if place in self._streams:
             self._door.put(place, state, self._wheel.now)
 
-    async def _last_words(self, stream: IOStream, text: bytes) -> None:
-        """Danger: closing over bytes that were not read resets the connection, and the text is lost."""
-        timer = self._wheel.after(LAST, stream.close)
-        try:
-            await stream.write(text)
-            stream.socket.shutdown(socket.SHUT_WR)
-            for _ in range(LAST_READS):
-                await self._reads[stream]
-                await asyncio.sleep(0)
-                self._reads[stream] = self._read(stream)
-        except (StreamClosedError, OSError, KeyError):
-            pass   # the client has closed too, or took too long
-        finally:
-            timer.cancel()
-
     async def _written(self, stream: IOStream, data: bytes | asyncio.Future) -> None:
         """Danger: a client that sends and never reads; its answers must neither wait for ever nor pile up."""
         timer = self._wheel.after(STALLED, stream.close)
@@ -273,9 +272,15 @@
                 self._drop(self._streams[max(self._door.begun(), key=lambda p: p.held)], "memory")
             timer = self._wheel.after(due - self._wheel.now, lambda: self._drop(stream, "command not whole"))
         try:
-            if stream not in self._reads:
+            read = self._reads.get(stream)
+            if read is not None and not read.done():
+                # Danger: what is held of a command is let go of with its connection, which may be read for a while yet.
+                wait = self._waits[stream] = asyncio.get_running_loop().create_future()
+                read.add_done_callback(lambda _: wait.done() or wait.set_result(None))
+                await wait
+            if stream not in self._reads:   # given back, also while this waited
                 raise StreamClosedError
-            data = await self._reads[stream]
+            data = read.result()
             self._reads[stream] = self._read(stream)
             return data
         finally:
@@ -388,3 +393,5 @@
         self._listener.close()
         for stream in list(self._places):
             self._drop(stream, "the end")
+        while self._parting.cut_short():
+            pass
--- a/linkdock/streams.py
+++ b/linkdock/streams.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamClosedError
 
 PEEK = 64 * 1024   # bytes that are looked at; a client that has sent more floods
+LAST = 0.5         # seconds for a peer to read what was written last and to close,
+LAST_BYTES = 512 * 1024   # and for so many bytes of what it sends meanwhile
 
 
 def silent(stream: IOStream, read: asyncio.Future) -> bool:
@@ -40,6 +43,67 @@
         return None
 
 
+def shut(stream: IOStream) -> None:
+    """End what is sent on a stream now, unless some of it still waits to be written."""
+    try:
+        if not stream.closed() and not stream.writing():
+            stream.socket.shutdown(socket.SHUT_WR)
+    except OSError:
+        pass   # its peer has gone
+
+
+async def part(stream: IOStream, read: asyncio.Future | None, after: Callable) -> None:
+    """Close a stream whose next read is `read`, if there is one. What still comes is thrown away, whatever it is.
+
+    Danger: closing over bytes that were not read resets the connection, and the last answer is lost with it.
+    """
+    timer, left = after(LAST, stream.close), LAST_BYTES
+    try:
+        await stream.write(b"")   # behind all that is to be written
+        shut(stream)
+        while left > 0:
+            left -= len(await (read or stream.read_bytes(PEEK, partial=True)))
+            read = None
+            await asyncio.sleep(0)
+    except StreamClosedError:
+        pass   # its peer has closed too, or took too long
+    finally:
+        timer.cancel()
+        stream.close()
+
+
+class Parting:
+    """Owner of streams that are being closed by `part`; each holds a descriptor until that is over."""
+
+    def __init__(self, after: Callable, spawn: Callable) -> None:
+        self._after, self._spawn = after, spawn
+        self._streams: dict[IOStream, None] = {}   # the oldest first
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+    def add(self, stream: IOStream, read: asyncio.Future) -> None:
+        """Nothing more is sent on it; its next read is `read`."""
+        shut(stream)
+        self._streams[stream] = None
+        self._spawn(self._part(stream, read))
+
+    async def _part(self, stream: IOStream, read: asyncio.Future) -> None:
+        try:
+            await part(stream, read, self._after)
+        finally:
+            self._streams.pop(stream, None)
+
+    def cut_short(self) -> bool:
+        """Close the oldest at once; whether there was one."""
+        stream = next(iter(self._streams), None)
+        if stream is None:
+            return False
+        del self._streams[stream]
+        stream.close()
+        return True
+
+
 def seen(future: asyncio.Future) -> None:
     """For reads and writes whose failure is no news: a peer that went."""
     if not future.cancelled():
--- /dev/null
+++ b/tests/test_races_close.py
@@ -0,0 +1,214 @@
+"""Whatever closes a client's connection: bytes that come in that very moment cost nobody an answer."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+
+from linkdock.protocol import frontend as front
+from linkdock.protocol.frontend import Frontend
+from linkdock.state.requests import Taken
+from linkdock.state.wheel import Wheel
+
+TICK = 0.005
+
+
+def command(*words):
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in words)
+
+
+def message(name):
+    return command(b"ENQUEUE", b"0", name, b"c=preview,d=6000,dest=1", b"x")
+
+
+BAD = command(b"NONSENSE")
+
+
+class Rig:
+    """A real frontend on a loopback socket, its wheel turned, before a desk that takes on whatever it is asked."""
+
+    def __init__(self, most=64, usual=64, most_held=1 << 20):
+        self.loop = asyncio.get_running_loop()
+        self.wheel, self.asked, self.late, self.tasks = Wheel(TICK, self.loop.time(), self.loop.time), [], {}, []
+        listening = socket.create_server(("127.0.0.1", 0), backlog=256)
+        listening.setblocking(False)
+        self.front = Frontend(self, [listening], self.wheel, self.spawn, most, usual, most_held)
+        self.turning = self.loop.create_task(self._turn())
+        drop = self.front._drop
+
+        def hooked(stream, why):
+            # In the very moment of the close: between whatever was looked at before it, and what it does.
+            if stream in self.front._places and not stream.closed():
+                for sock, data in self.late.items():
+                    if sock.getsockname() == stream.socket.getpeername():
+                        with contextlib.suppress(ConnectionError):
+                            sock.sendall(data)
+            drop(stream, why)
+        self.front._drop = hooked
+
+    async def _turn(self):
+        while True:
+            self.wheel.advance(self.loop.time())
+            await asyncio.sleep(TICK)
+
+    def spawn(self, work):
+        self.tasks.append(self.loop.create_task(work))
+
+    def ask(self, cls, destination, left, request, again, held, early=False):
+        self.asked.append(request.id)
+        request.answer(Taken())
+
+    def client(self, late=b""):
+        """A connection, and what it sends in the moment in which it is closed."""
+        sock = socket.create_connection(("127.0.0.1", self.front.port))
+        sock.setblocking(False)
+        if late:
+            self.late[sock] = late
+        return sock
+
+    async def heard(self, sock, lines=None):
+        """So many lines, by default all up to the end of the connection."""
+        data = b""
+        while lines is None or data.count(b"\r\n") < lines:
+            more = await asyncio.wait_for(self.loop.sock_recv(sock, 65536), 20)
+            if not more:
+                assert lines is None, data
+                break
+            data += more
+        return data.split(b"\r\n")[:-1]
+
+    async def close(self):
+        self.front.close()
+        self.turning.cancel()
+        for task in self.tasks:
+            task.cancel()
+        for done in await asyncio.gather(*self.tasks, return_exceptions=True):
+            assert done is None or isinstance(done, asyncio.CancelledError), done
+
+
+def played(story, **more):
+    async def whole():
+        rig = Rig(**more)
+        try:
+            await asyncio.wait_for(story(rig), 60)
+        finally:
+            await rig.close()
+    asyncio.run(whole())
+
+
+LATE = message(b"late")
+
+
+async def quits(rig, sock):
+    sock.sendall(command(b"QUIT"))
+    return [b"+OK"]
+
+
+async def errs(rig, sock):
+    sock.sendall(BAD)
+    for _ in range(front.MOST_ERRORS - 1):
+        await rig.heard(sock, 1)
+        sock.sendall(BAD)
+    return [b"-ERR unknown command 'NONSENSE'"]
+
+
+async def garbles(rig, sock):
+    sock.sendall(b"GET / HTTP/1.1\r\n")
+    return [b"-ERR Protocol error: expected '*'"]
+
+
+async def rests(rig, sock):
+    sock.sendall(message(b"first"))   # and then nothing, up to the idle limit
+    return [b"+OK"]
+
+
+async def stays_unused(rig, sock):
+    return []
+
+
+async def halves(rig, sock):
+    sock.sendall(message(b"first"))
+    await rig.heard(sock, 1)
+    sock.sendall(b"*5\r\n$7\r\nENQ")   # and no more
+    return []
+
+
+async def is_stopped(rig, sock):
+    sock.sendall(message(b"first"))
+    while not rig.asked:
+        await asyncio.sleep(0)
+    rig.front.stop_accepting()   # right after the answer was written, which nobody has read
+    return [b"+OK"]
+
+
+async def is_one_too_many(rig, sock):
+    sock.sendall(message(b"first"))
+    while not rig.asked:
+        await asyncio.sleep(0)
+    others = [rig.client() for _ in range(4)]   # as many as are kept
+    await asyncio.sleep(2 * front.IDLE_FOR / 5)
+    for n, other in enumerate(others):
+        other.sendall(message(b"other%d" % n))
+        await rig.heard(other, 1)
+    return [b"+OK"]
+
+
+async def makes_room(rig, sock):
+    sock.sendall(command(b"PING"))
+    await rig.heard(sock, 1)
+    rig.front.hold_at_most(0)
+    return []
+
+
+async def is_too_large(rig, sock):
+    sock.sendall(b"*5\r\n$7\r\nENQUEUE\r\n$60000\r\n" + b"x" * 50000)
+    return []
+
+
+WAYS = {quits: {}, errs: {}, garbles: {}, rests: {"IDLE_FOR": 0.1}, stays_unused: {"WHOLE": 0.1},
+        halves: {"WHOLE": 0.1}, is_stopped: {}, is_one_too_many: {"IDLE_FOR": 0.5}, makes_room: {}, is_too_large: {}}
+
+
+@pytest.mark.parametrize("way", WAYS, ids=lambda way: way.__name__)
+def test_bytes_in_the_moment_of_a_close_reset_nothing_and_are_never_sent_on(way, monkeypatch):
+    """Without a half-close the client's next read after the answer ends in a reset, and the answer may go with it."""
+    for name, value in WAYS[way].items():
+        monkeypatch.setattr(front, name, value)
+
+    async def story(rig):
+        sock = rig.client(late=LATE)
+        expected = await way(rig, sock)
+        heard = await rig.heard(sock)   # raises ConnectionResetError where the connection was reset
+        assert heard == expected
+        with contextlib.suppress(BrokenPipeError):
+            sock.sendall(message(b"later"))   # also after the close
+        sock.close()
+        while len(rig.front):
+            await asyncio.sleep(TICK)
+        assert not {"late", "later"} & set(rig.asked)
+    played(story, usual=16, most_held=40_000 if way is is_too_large else 1 << 20)
+
+
+def test_who_goes_on_byte_by_byte_after_its_error_still_reads_it():
+    """What comes is thrown away by its bytes: counted by reads, eight bytes on their own were as good as a flood."""
+    async def story(rig):
+        sock = rig.client()
+        sock.sendall(b"GET / HTTP/1.1\r\n")
+        for _ in range(30):
+            sock.sendall(b"x")
+            await asyncio.sleep(TICK)
+        assert await rig.heard(sock) == [b"-ERR Protocol error: expected '*'"]
+    played(story)
+
+
+def test_descriptors_of_connections_that_are_being_closed_are_bounded():
+    async def story(rig):
+        clients = []
+        for _ in range(60):   # each is told its error and stays
+            clients.append(rig.client())
+            clients[-1].sendall(b"GET / HTTP/1.1\r\n")
+            await rig.heard(clients[-1], 1)
+            assert len(rig.front) <= 20 + rig.front._door.bulk()
+        assert await rig.heard(clients[0]) == []
+    played(story, most=20)
