Answer a command that is whole by the end of its time, be it the first on a resting connection

Seen: a connection that has said nothing for 2 s, or half a command, was closed by a timer that did not look whether bytes had come. A request that had come whole by then, and only waited for the loop's turn, was reset unread: the first on its connection has then failed, and nobody sends it again. Cause: Frontend._more set `_drop` as the timer of a command that has begun; only idle connections had the look. Now: one timer for both, with the look. What had come by the end of the time is read and answered if it makes the command whole; if not, the connection is closed before anything else is waited for, so that a trickle gains nothing. Ruled out: that the time could be renewed so (test: closed at once, and the rest never sent on).

--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -262,15 +262,17 @@
         if due is None:
             self._put(place, IDLE)
             for other in self._door.too_many(self._wheel.now):
-                self._close_idle(self._streams[other], "too many idle")
-            timer = self._wheel.after(IDLE_FOR if place.taken else UNUSED_FOR,
-                                      lambda: self._close_idle(stream, "idle"))
+                self._close_silent(self._streams[other], "too many idle")
+            seconds, why = IDLE_FOR if place.taken else UNUSED_FOR, "idle"
         else:
+            seconds, why = due - self._wheel.now, "command not whole"
             place.held = parser.held
             self._put(place, BEGUN)
             while sum(p.held for p in self._door.begun()) > self._most_held:
                 self._drop(self._streams[max(self._door.begun(), key=lambda p: p.held)], "memory")
-            timer = self._wheel.after(due - self._wheel.now, lambda: self._drop(stream, "command not whole"))
+            if due <= self._wheel.now and stream in self._reads and not self._reads[stream].done():
+                self._drop(stream, why)   # what had come by then has been looked at
+        timer = self._wheel.after(seconds, lambda: self._close_silent(stream, why))
         try:
             read = self._reads.get(stream)
             if read is not None and not read.done():
@@ -288,8 +290,8 @@
             # From here on a command may have come, and nobody may close over it.
             self._put(place, BUSY)
 
-    def _close_idle(self, stream: IOStream, why: str) -> None:
-        """Danger: a request that has just come must not be met by a close."""
+    def _close_silent(self, stream: IOStream, why: str) -> None:
+        """Danger: a request that has just come must not be met by a close, be it at the end of its time."""
         if stream in self._places and self._silent(self._places[stream]):
             self._drop(stream, why)
 
@@ -387,7 +389,7 @@
     def empty(self) -> None:
         """Close the connections between requests."""
         for place in list(self._door.idle()):
-            self._close_idle(self._streams[place], "stopping")
+            self._close_silent(self._streams[place], "stopping")
 
     def close(self) -> None:
         self._listener.close()
