Leave only when no client's connection is left, and answer at the very end what was handed in

Seen: (1) the stop closes idle connections but passes over one on which bytes have just come, and the next line asked whether any connection was in the middle of a command. That one still counted as idle; with nothing else to do the process left and closed over the request. (2) 3.4 s after SIGTERM the process ended in whatever state its connections were. The beat in which that time comes is the last, and a request that was handed in between it and the end of the loop's turn was never answered: a client that sends before it has its answer keeps its connection open until then. (3) the end of the process closed over bytes that were not read, and took the last answers with it. Cause: Frontend.beginning() asked for the state of places, not whether there are any; Process.run closed at once. Now: `_leave_when_done` waits for every connection, those that are parting included, each of which has a deadline; 0.1 s before the last moment the frontend closes what is not being answered, and all others after their answer. `uselessness` and the encoding of answers move to Place and resp; they are unchanged. Ruled out: that the beat could answer them (it runs before the turn's reads); a longer stay (SIGKILL at 3.7 s). Without it: (1) the client reads b'' and not +OK; on it is reset. (2) 1 was handed in, 0 answered. Each of them seen with that line alone put back. The orders of halves at the stop pass without it as well.

--- a/linkdock/protocol/door.py
+++ b/linkdock/protocol/door.py
@@ -34,6 +34,10 @@
         self.held = 0      # bytes of a command that is not whole yet
         self.taken = self.commands = self.errors = 0   # messages taken on, whole commands, errors
 
+    def uselessness(self) -> float:
+        """What it counts against its address once it is over: silence more than idle words, errors beside."""
+        return (0.0 if self.taken else 0.25 if self.commands else 1.0) + 0.5 * min(self.errors, 4)
+
 
 class Door:
     """Owner of the places. Times are seconds of one clock that never runs back."""
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -14,7 +14,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from ..state.requests import Busy, Failed, Refused, Request, Taken
+from ..state.requests import Answer, Refused, Request, Taken
 from ..state.wheel import Wheel
 from ..streams import Parting, seen, silent, waiting
 from . import resp
@@ -49,22 +49,6 @@
         """
 
 
-def encode(answer: Taken | Busy | Failed) -> bytes:
-    match answer:
-        case Taken():
-            return resp.simple("OK")
-        case Busy(wait=wait):
-            return resp.error(f"BUSY {max(1, round(wait * 1000))}" if wait > 0 else "BUSY")
-        case Failed(text=text):
-            return resp.error(f"ERR {text}")
-    raise TypeError(answer)
-
-
-def uselessness(place: Place) -> float:
-    """What a connection that is over counts against its address: silence more than idle words, errors beside."""
-    return (0.0 if place.taken else 0.25 if place.commands else 1.0) + 0.5 * min(place.errors, 4)
-
-
 class Frontend:
     """Owner of the listening socket and of every client's connection.
 
@@ -82,7 +66,7 @@
         self._streams: dict[Place, IOStream] = {}          # both ways
         self._waits: dict[IOStream, asyncio.Future] = {}   # done with the read, or once the connection is given back
         self._parting = Parting(wheel.after, spawn)        # those given back and not closed yet
-        self._closing = False
+        self._closing = self._ending = False
         self._early = 0                                    # number of the last place that may have waited for the start
         self.observer: Observer | None = None              # of the records, where they are on
         self.duty: Duty | None = None                      # whether clients are taken, where there are operators
@@ -116,10 +100,6 @@
             self.observer.joined(place.number, f"{address[0]}:{address[1]}", len(self._door))
         self._spawn(self._serve(stream, place))
 
-    def beginning(self) -> bool:
-        """Whether a connection is in the middle of a command, or its first may be on its way."""
-        return any(place.state != IDLE for place in self._places.values())
-
     def __len__(self) -> int:
         """Connections of clients."""
         return len(self._door) + len(self._parting)
@@ -182,7 +162,7 @@
             wait.set_result(None)
         self._door.leave(place)
         if self._gate is not None:
-            self._gate.leave(self._wheel.now, place, uselessness(place))
+            self._gate.leave(self._wheel.now, place, place.uselessness())
         if self.observer is not None:
             now = self._wheel.now
             if stream.error is not None:
@@ -239,7 +219,10 @@
         """Whether a connection between commands is to be closed now, because this process takes no more clients.
 
         Danger: one whose first command is on its way, or on which the next has just come. They are answered first.
+        At the very end nothing more is waited for, and what has not been read comes again elsewhere.
         """
+        if self._ending:
+            return not self._reads[self._streams[place]].done()
         if not self._closing and (self.duty is None or self.duty.taking):
             return False
         return place.commands > 0 and not parser.partial and self._silent(place)
@@ -325,7 +308,7 @@
             if read.cancelled() or read.exception() is not None:
                 told()
 
-        def answer(said: Taken | Busy | Failed) -> bool:
+        def answer(said: Answer) -> bool:
             """Write at once, so that the client hears it before any dispatch; False if it was not for it."""
             # Danger: a client that has gone, or floods before its answer, must not be held to be taken on. One that
             # sends a few whole commands behind its first is answered each in turn.
@@ -337,7 +320,7 @@
             except resp.Malformed:
                 there = False
             if there:
-                writes.append(stream.write(encode(said)))
+                writes.append(stream.write(resp.answer(said)))
                 writes[0].add_done_callback(seen)
                 if isinstance(said, Taken) and not said.known and place in self._streams:
                     self._door.took(place)
@@ -391,6 +374,13 @@
         for place in list(self._door.idle()):
             self._close_silent(self._streams[place], "stopping")
 
+    def end(self) -> None:
+        """Close every connection, also in the middle of a command. What has come whole is still answered."""
+        self._ending = True
+        for stream, place in list(self._places.items()):
+            if place.state != BUSY:
+                self._close_silent(stream, "the end")
+
     def close(self) -> None:
         self._listener.close()
         for stream in list(self._places):
--- a/linkdock/protocol/resp.py
+++ b/linkdock/protocol/resp.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..errors import LinkdockError
+from ..state.requests import Answer, Busy, Failed, Taken
 
 MOST_WORD = 64 * 1024      # bytes of one word, as of a body
 MOST_COMMAND = 65 * 1024   # and of all words of one command
@@ -152,3 +153,15 @@
 
 def error(text: str) -> bytes:
     return b"-" + text.replace("\r", " ").replace("\n", " ").encode() + b"\r\n"
+
+
+def answer(said: Answer) -> bytes:
+    """What the client of a message hears."""
+    match said:
+        case Taken():
+            return simple("OK")
+        case Busy(wait=wait):
+            return error(f"BUSY {max(1, round(wait * 1000))}" if wait > 0 else "BUSY")
+        case Failed(text=text):
+            return error(f"ERR {text}")
+    raise TypeError(said)
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -47,6 +47,7 @@
 MOST_IDLE = 1.0         # seconds without a beat at the most
 LEAVE_FLEET = 2.0       # seconds more, at the most, to hand over what the fleet's processes share
 LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
+LAST_ANSWERS = 0.1      # seconds before that in which what was handed in is answered, and no more is read
 
 
 class Process:
@@ -277,6 +278,8 @@
             self._stop_accepting()   # what comes from now on is the other's, who reads the same socket
         else:
             self._wheel.after(ACCEPT_FOR, self._stop_accepting)
+        # Danger: a request that was handed in right before the end would hear nothing, and nobody would know of it.
+        self._wheel.after(LEAVE_AFTER - LAST_ANSWERS, self.frontend.end)
         self._wheel.after(LEAVE_AFTER, self._stop.set)
 
     def _leave_fleet(self) -> None:
@@ -290,7 +293,8 @@
     def _leave_when_done(self) -> None:
         if self._relieved:
             self.sender.hand_over()   # what waits; also what has come to wait again
-        if self.sender.finishing() or self.frontend.beginning():
+        # Danger: a request that has just come on an idle connection, and an answer that its client has not read yet.
+        if self.sender.finishing() or len(self.frontend):
             self._wheel.after(LOOK_EVERY, self._leave_when_done)
         else:
             self._stop.set()
--- a/tests/test_races_clients.py
+++ b/tests/test_races_clients.py
@@ -1,11 +1,21 @@
 """Clients at the edges: at the end of a connection's time, and while the process leaves."""
 
 import asyncio
+import contextlib
+import signal
+import socket
+import threading
+import time
 
 import pytest
-from test_races_close import Rig, message, played
+from peers import PATIENCE, Backend, Discovery, owed, settings
+from test_races_close import TICK, Rig, message, played
 
 from linkdock.protocol import frontend as front
+from linkdock.service import run
+from linkdock.service.config import check
+from linkdock.service.run import Process
+from linkdock.state.journal import Journal
 
 
 async def at_the_deadline(rig, sock, data):
@@ -46,3 +56,191 @@
             await asyncio.sleep(0)
         assert rig.asked == []
     played(story)
+
+
+class Life:
+    """The real process in this one, so that a test can come between two of its steps."""
+
+    def __init__(self, tmp_path, server, stop=None, **more):
+        self.loop, self.discovery = asyncio.get_running_loop(), Discovery()
+        state = tmp_path / "state"
+        state.mkdir()
+        config = check({"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.dial, "seed": "8c1f30d2",
+                        "known": {"seq": 7, "whole": True, "hosts": [server.row()]},
+                        "settings": settings(**more)}, state)
+        self.process = Process(config)
+        self.process._stop = stop or self.process._stop
+        self.ended = self.loop.create_task(self.process.run())
+
+    def client(self):
+        sock = socket.create_connection(("127.0.0.1", self.process.frontend.port))
+        sock.setblocking(False)
+        return sock
+
+    async def heard(self, sock, whole=False):
+        """A line, or all up to the end of the connection."""
+        data = b""
+        while whole or not data.endswith(b"\r\n"):
+            more = await asyncio.wait_for(self.loop.sock_recv(sock, 4096), PATIENCE)
+            if not more:
+                break
+            data += more
+        return data
+
+
+def lived(story):
+    async def whole():
+        before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)}
+        try:
+            await asyncio.wait_for(story(), PATIENCE)
+        finally:
+            for number, handler in before.items():
+                asyncio.get_running_loop().remove_signal_handler(number)
+                signal.signal(number, handler)
+    asyncio.run(whole())
+
+
+def answering(server):
+    """Every call is answered, whatever comes."""
+    def serve():
+        with contextlib.suppress(OSError):
+            while True:
+                line, _ = server.take()
+                line.answer(200, Connection="close")
+                line.close()
+    threading.Thread(target=serve, daemon=True).start()
+
+
+def test_what_comes_on_an_idle_connection_in_the_moment_of_the_stop_is_answered_before_the_process_leaves(
+        tmp_path, monkeypatch):
+    """It lay in the socket when idle connections were closed; nothing else kept the process."""
+    monkeypatch.setattr(run, "ACCEPT_FOR", 0.05)
+
+    async def story():
+        server = Backend("s1")
+        answering(server)
+        life = Life(tmp_path, server)
+        sock = life.client()
+        sock.sendall(message(b"aa01"))
+        assert await life.heard(sock) == b"+OK\r\n"
+        while life.process.sender.finishing():
+            await asyncio.sleep(0.005)
+        frontend, late = life.process.frontend, [message(b"aa02"), message(b"aa03")]
+        stop, drop = frontend.stop_accepting, frontend._drop
+
+        def stopped(*args, **more):
+            sock.sendall(late.pop(0))
+            stop(*args, **more)
+
+        def dropped(stream, why):
+            if stream in frontend._places and late:
+                sock.sendall(late.pop(0))   # and this in the moment of the close, after the answer
+            drop(stream, why)
+        frontend.stop_accepting, frontend._drop = stopped, dropped
+        life.process.stop()
+        assert await life.heard(sock, whole=True) == b"+OK\r\n"   # not reset; aa03 comes again on a new connection
+        sock.close()
+        assert await life.ended == 0 and not late
+        assert not Journal(tmp_path / "state", 3_000_000).kept
+    lived(story)
+
+
+class Held(asyncio.Event):
+    """The end of a process, which finds that a client's request has come just before it."""
+
+    async def wait(self):
+        await super().wait()
+        self.client.sendall(message(b"late"))
+        for _ in range(50):   # turns of the loop, and no beat
+            await asyncio.sleep(0)
+
+
+def test_nothing_is_handed_in_at_the_very_end_that_is_not_answered(tmp_path, monkeypatch):
+    """The last beat is over, and the connections are about to be closed: what is handed in then hears nothing."""
+    for name, value in (("ACCEPT_FOR", 0.2), ("LEAVE_AFTER", 1.2), ("LAST_ANSWERS", 0.6)):
+        monkeypatch.setattr(run, name, value, raising=False)
+
+    async def story():
+        server = Backend("s1")   # never answers: the process stays up to its last moment
+        life = Life(tmp_path, server, Held(), tick=0.2)
+        used, asked = life.client(), []
+        used.sendall(message(b"aa01"))
+        assert await life.heard(used) == b"+OK\r\n"
+        plain = life.process.sender.ask
+
+        def ask(cls, destination, left, request, *rest, **more):
+            asked.append(request.id)
+            plain(cls, destination, left, request, *rest, **more)
+        life.process.sender.ask = ask
+        rests = life.process._stop.client = life.client()   # says nothing until the end
+        last = life.client()
+        end = getattr(life.process.frontend, "end", None)
+
+        def ended():
+            last.sendall(message(b"last"))   # this one in time
+            end()
+        life.process.frontend.end = ended
+        life.process.stop()
+        heard = [await life.heard(sock, whole=True) for sock in (rests, last)]
+        assert await life.ended == 0
+        assert heard.count(b"+OK\r\n") == len(asked) and heard == [b"", b"+OK\r\n"]
+        assert set(Journal(tmp_path / "state", 3_000_000).kept) == {"aa01", "last"}
+    lived(story)
+
+
+@pytest.mark.parametrize("used", [False, True])
+@pytest.mark.parametrize("seen", [False, True], ids=["just come", "seen"])
+def test_a_request_that_has_begun_when_clients_are_sent_away_is_answered_wherever_it_was(used, seen):
+    """Whole, in halves or byte by byte; what had not begun on a used connection crosses its close."""
+    async def story(rig: Rig):
+        data, clients = message(b"aaaa"), []
+        for at in (0, 1, 30, len(data) - 1, len(data)):
+            sock = rig.client()
+            if used:
+                sock.sendall(message(b"used"))
+                await rig.heard(sock, 1)
+            clients.append((at, sock))
+        await asyncio.sleep(4 * TICK)
+        rig.asked.clear()
+        for at, sock in clients:
+            sock.sendall(data[:at])
+        if seen:
+            await asyncio.sleep(4 * TICK)   # the whole one is answered meanwhile
+        rig.front.stop_accepting()
+        for at, sock in clients:
+            for n in range(at, len(data)):
+                with contextlib.suppress(ConnectionError):
+                    sock.sendall(data[n:n + 1])
+                if at == 1:
+                    await asyncio.sleep(0)
+            crossed = used and at == 0
+            assert await rig.heard(sock) == ([] if crossed else [b"+OK"]), at
+        assert len(rig.asked) == len(clients) - used
+    played(story)
+
+
+def test_who_sends_again_and_again_after_sigterm_is_answered_or_not_taken_on_and_the_process_ends_in_time(start):
+    """Its next request has always come before its answer, so that its connection is never silent."""
+    server = Backend("s1")   # never answers: the process stays as long as it may
+    program = start([server], limits__max_open=500)
+    client, names, heard = program.client(), iter(f"aa{n:05}" for n in range(99_999)), []
+    asked = [next(names)]
+    client.send("ENQUEUE", "0", asked[0], "c=order,d=16000,dest=1", "x")
+    program.terminate()
+    began = time.monotonic()
+    with contextlib.suppress(ConnectionError):
+        while True:
+            asked.append(next(names))
+            client.send("ENQUEUE", "0", asked[-1], "c=order,d=16000,dest=1", "x")
+            if not (said := client.heard()):
+                break
+            heard.append(said)
+    assert program.wait() == 0 and time.monotonic() - began < 3.4 + 1.5   # and the end of a process
+    assert len(heard) > 100 and all(said == "+OK" or said.startswith("-BUSY") for said in heard)
+    taken = {name for name, said in zip(asked, heard, strict=False) if said == "+OK"}
+    ended = {}
+    while not program.discovery.notices.empty():
+        told = program.discovery.notice()
+        ended[told["id"]] = told["status"]
+    assert set(owed(program)) | set(ended) == taken   # those that wait too long are handed back
+    assert len(asked) - len(heard) <= 2
