Let in who waits in the kernel's queue before the listening socket is closed

Seen: the kernel resets whoever waits in the queue of a listening socket that is closed. With the loop held up, or more than 64 that came in one turn, connections that came before the end of the 0.5 s were reset with their requests. Cause: Listener.close closed without a last look. Now: the stop takes what waits first, at most as many as the queue holds. A socket that the platform holds for several processes keeps its queue when one of them closes, and is left to the other as before. Ruled out: a queue that a flood keeps full (a bound of 512); that those let in are closed with the idle ones (a first command has its 2 s). Without it (the call taken out): ConnectionResetError on the first of 84.

--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -239,8 +239,7 @@
         finally:
             timer.cancel()
 
-    async def _more(self, stream: IOStream, place: Place, parser: resp.CommandParser,
-                    due: float | None) -> bytes:
+    async def _more(self, stream: IOStream, place: Place, parser: resp.CommandParser, due: float | None) -> bytes:
         """The next bytes. Danger: a trickle must not put off the deadline of a command that has begun."""
         if due is None:
             self._put(place, IDLE)
@@ -278,8 +277,7 @@
         if stream in self._places and self._silent(self._places[stream]):
             self._drop(stream, why)
 
-    async def _command(self, stream: IOStream, place: Place, parser: resp.CommandParser,
-                       words: list[bytes]) -> bool:
+    async def _command(self, stream: IOStream, place: Place, parser: resp.CommandParser, words: list[bytes]) -> bool:
         """Answer one command; whether the connection goes on."""
         name = words[0].upper()
         if name == b"ENQUEUE":
@@ -363,8 +361,13 @@
 
     # --- The end.
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket and every connection between requests; the others after their answer."""
+    def stop_accepting(self, shared: bool) -> None:
+        """Close the listening socket and every connection between requests; the others after their answer.
+
+        `shared`: the socket stays open elsewhere, and who waits in its queue will be served there.
+        """
+        if not shared:
+            self._listener.take_waiting()
         self._closing = True
         self._listener.close()
         self.empty()
--- a/linkdock/protocol/listening.py
+++ b/linkdock/protocol/listening.py
@@ -20,7 +20,8 @@
 
 log = logging.getLogger(__name__)
 
-BATCH = 64           # connections taken in one turn
+BACKLOG = 512        # connections that may wait for this process,
+BATCH = 64           # and that are taken in one turn
 PAUSE = 0.05         # seconds without looking after descriptors had run out
 SAY_EVERY = 5.0      # seconds between two lines about it
 # The system or this process has none left, of descriptors or of memory for them.
@@ -81,21 +82,23 @@
             for sock in self._sockets:
                 self._loop.add_reader(sock, self._readable, sock)
 
-    def _readable(self, sock: socket.socket) -> None:
+    def _readable(self, sock: socket.socket) -> bool:
+        """Take a batch; whether more may wait."""
         for _ in range(BATCH):
             if self._closed:   # by what the last one brought about
-                return
+                return False
             try:
                 connection, address = sock.accept()
             except (BlockingIOError, InterruptedError):
                 self._unseen.discard(sock)
-                return
+                return False
             except OSError as bad:
                 if bad.errno in NO_ROOM:
                     self._refuse(sock, bad)
-                    return
+                    return False
                 continue   # its client has gone already, or was never whole
             self._taken(connection, address)   # which looks at what is cheap first: a flood comes this way
+        return True
 
     def _refuse(self, sock: socket.socket, bad: OSError) -> None:
         """Those that wait hear a close; then there is a pause, in which others may give theirs back."""
@@ -116,6 +119,13 @@
             self._loop.remove_reader(other)
         self._wheel.after(PAUSE, self._look)
 
+    def take_waiting(self) -> None:
+        """Take all that wait. Danger: closed with the socket they are reset, and their requests get no answer."""
+        for sock in self._sockets:
+            for _ in range(BACKLOG // BATCH):   # and no more: a flood must not keep it open
+                if not self._readable(sock):
+                    break
+
     def close(self) -> None:
         if self._closed:
             return
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -19,7 +19,7 @@
 from ..protocol.calls import Backend
 from ..protocol.discovery import Watch, read_news
 from ..protocol.frontend import Frontend
-from ..protocol.listening import inherited
+from ..protocol.listening import BACKLOG, inherited
 from ..protocol.notices import Notices
 from ..sender.books import Books
 from ..sender.desk import Sender
@@ -163,7 +163,7 @@
     def _listening(config: Config) -> list[socket.socket]:
         if config.accept_fd is not None:
             return [inherited(config.accept_fd)]
-        return bind_sockets(config.listen[1], config.listen[0], family=socket.AF_INET, backlog=512)
+        return bind_sockets(config.listen[1], config.listen[0], family=socket.AF_INET, backlog=BACKLOG)
 
     def _look(self) -> None:
         self._wheel.after(SIBLING_EVERY, self._look)
@@ -287,7 +287,7 @@
             self._leaving = self._loop.create_task(self.node.close())
 
     def _stop_accepting(self) -> None:
-        self.frontend.stop_accepting()
+        self.frontend.stop_accepting(shared=self._config.accept_fd is not None)
         self._leave_when_done()
 
     def _leave_when_done(self) -> None:
--- a/tests/test_races_clients.py
+++ b/tests/test_races_clients.py
@@ -12,6 +12,7 @@
 from test_races_close import TICK, Rig, message, played
 
 from linkdock.protocol import frontend as front
+from linkdock.protocol.listening import BATCH
 from linkdock.service import run
 from linkdock.service.config import check
 from linkdock.service.run import Process
@@ -58,6 +59,33 @@
     played(story)
 
 
+def test_who_waits_in_the_queue_when_the_listening_socket_is_closed_is_let_in_first():
+    """More than one turn takes, connected and asking before this process looked. Closed over, they are all reset."""
+    async def story(rig: Rig):
+        await asyncio.sleep(0)
+        clients = [rig.client() for _ in range(BATCH + 20)]
+        for n, sock in enumerate(clients):
+            sock.sendall(message(b"aa%02d" % n))
+        rig.front.stop_accepting(shared=False)
+        for sock in clients:
+            assert await rig.heard(sock) == [b"+OK"]
+        with pytest.raises(ConnectionRefusedError):
+            rig.client()
+    played(story, most=200, usual=200)
+
+
+def test_a_shared_socket_keeps_its_queue_for_the_process_that_stays():
+    async def story(rig: Rig):
+        await asyncio.sleep(0)
+        other = socket.fromfd(rig.listening.fileno(), socket.AF_INET, socket.SOCK_STREAM)
+        sock = rig.client()
+        rig.front.stop_accepting(shared=True)
+        other.setblocking(False)
+        assert other.accept()[1] == sock.getsockname()
+        other.close()
+    played(story)
+
+
 class Life:
     """The real process in this one, so that a test can come between two of its steps."""
 
@@ -206,7 +234,7 @@
             sock.sendall(data[:at])
         if seen:
             await asyncio.sleep(4 * TICK)   # the whole one is answered meanwhile
-        rig.front.stop_accepting()
+        rig.front.stop_accepting(shared=False)
         for at, sock in clients:
             for n in range(at, len(data)):
                 with contextlib.suppress(ConnectionError):
--- a/tests/test_races_close.py
+++ b/tests/test_races_close.py
@@ -31,7 +31,7 @@
     def __init__(self, most=64, usual=64, most_held=1 << 20):
         self.loop = asyncio.get_running_loop()
         self.wheel, self.asked, self.late, self.tasks = Wheel(TICK, self.loop.time(), self.loop.time), [], {}, []
-        listening = socket.create_server(("127.0.0.1", 0), backlog=256)
+        listening = self.listening = socket.create_server(("127.0.0.1", 0), backlog=256)
         listening.setblocking(False)
         self.front = Frontend(self, [listening], self.wheel, self.spawn, most, usual, most_held)
         self.turning = self.loop.create_task(self._turn())
@@ -138,7 +138,7 @@
     sock.sendall(message(b"first"))
     while not rig.asked:
         await asyncio.sleep(0)
-    rig.front.stop_accepting()   # right after the answer was written, which nobody has read
+    rig.front.stop_accepting(shared=False)   # right after the answer was written, which nobody has read
     return [b"+OK"]
 
 
