Leave SIGHUP no moment with its default at the end of the process

Seen: after the stop SIGHUP was taken out of the loop and then ignored, in two steps. Taking it out restores the default, which ends the process: a SIGHUP between the two counts as a crash, beside a SIGTERM that was in time. Cause: loop.remove_signal_handler before signal.signal(SIGHUP, SIG_IGN) in Process.run. Now: the handler is set by signal.signal and replaced by SIG_IGN in one step. The loop still wakes for it, by the descriptor that it watches for SIGTERM. A reload that comes behind the end is passed over. Ruled out: the start (ignored from the first line of main); SIGTERM in the same window (an end after SIGTERM is none). Without it: the process ends with -1, SIGHUP sent right after each change of its handler. SIGTERM twice and with SIGHUP, in two orders, passes with and without.

--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -248,6 +248,8 @@
 
     def reload(self) -> None:
         """SIGHUP: go on with what the configuration's file says now; also while stopping."""
+        if self._ended:
+            return
         old, self._config = self._config, reload(self._config)
         if self._operations is not None:
             self._operations.reloaded(self._config is not old)
@@ -301,12 +303,12 @@
 
     async def run(self) -> int:
         self._loop.add_signal_handler(signal.SIGTERM, self.stop)
-        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
+        # Danger: taken from the loop at the end, SIGHUP would for a moment have its default, which ends the process.
+        signal.signal(signal.SIGHUP, lambda *_: self._loop.call_soon_threadsafe(self.reload))
         self._loop.add_signal_handler(signal.SIGINT, self._stop.set)
         log.info("%s listens on %s:%d", self._config.name, self._config.listen[0], self.frontend.port)
         await self._stop.wait()
-        self._loop.remove_signal_handler(signal.SIGHUP)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)   # by default it would end the process
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         log.info("the longest hold of the loop: %.1f ms", 1000 * self._hold)
         # Danger: a beat after the journal is closed and its lock let go of. What it sent, the next one would send too.
         self._ended = True
--- a/tests/test_races_clients.py
+++ b/tests/test_races_clients.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import socket
 import threading
@@ -216,6 +217,48 @@
     lived(story)
 
 
+ECHO = """
+import os, signal
+plain = signal.signal
+def signal_and_hup(number, handler):
+    before = plain(number, handler)
+    if number == signal.SIGHUP:
+        os.kill(os.getpid(), signal.SIGHUP)
+    return before
+signal.signal = signal_and_hup
+"""
+
+
+def test_sighup_in_the_moment_in_which_the_end_stops_listening_to_it_ends_nothing(start, tmp_path, monkeypatch):
+    """One comes right after each change of what the process does with it."""
+    hook = tmp_path / "hook"
+    hook.mkdir()
+    (hook / "sitecustomize.py").write_text(ECHO)
+    monkeypatch.setenv("PYTHONPATH", os.pathsep.join([str(hook), os.environ.get("PYTHONPATH", "")]))
+    program = start([Backend("s1")])
+    assert program.client().ask("PING") == "+PONG"
+    program.terminate()
+    assert program.wait() == 0
+
+
+@pytest.mark.parametrize("signals", [(signal.SIGTERM, signal.SIGHUP, signal.SIGTERM),
+                                     (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP)])
+def test_sigterm_again_and_with_sighup_ends_once_and_the_new_configuration_counts(start, signals):
+    server, moved = Backend("s1"), Discovery()
+    program = start([server])
+    client = program.client()
+    assert client.enqueue("aa01", "order", 16000) == "+OK"
+    line, _ = server.take()
+    program.rewrite(discovery=moved.dial)
+    for number in signals:
+        program.process.send_signal(number)
+    assert moved.watch()[0].startswith("GET")
+    line.answer(500)   # it may have run: its end is a notice, which goes to the new address
+    assert moved.notice() == {"id": "aa01", "status": "undeliverable"}
+    assert client.heard() == "" and program.wait() == 0
+    assert sum("stopping" in said for said in program.log) == 1 and not owed(program)
+
+
 @pytest.mark.parametrize("used", [False, True])
 @pytest.mark.parametrize("seen", [False, True], ids=["just come", "seen"])
 def test_a_request_that_has_begun_when_clients_are_sent_away_is_answered_wherever_it_was(used, seen):
