--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -14,9 +14,9 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from ..state.requests import Busy, Failed, Refused, Request, Taken
+from ..state.requests import Answer, Refused, Request, Taken
 from ..state.wheel import Wheel
-from ..streams import seen, silent, waiting
+from ..streams import Parting, seen, silent, waiting
 from . import resp
 from .door import BAD, BEGUN, BUSY, IDLE, Door, Place
 from .listening import Listener
@@ -33,8 +33,6 @@
 IDLE_FOR = 5.0         # seconds without a command before a connection is closed,
 UNUSED_FOR = 2.0       # and before one that never handed in a message is
 STALLED = 2.0          # seconds for a client to read an answer
-LAST_READS = 8         # reads, and seconds, for what comes after the last answer on a connection
-LAST = 0.5
 PENALTY = 0.05         # seconds that a connection waits after its first error; each further one adds as much
 MOST_ERRORS = 10       # of one connection
 WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")
@@ -51,22 +49,6 @@
         """
 
 
-def encode(answer: Taken | Busy | Failed) -> bytes:
-    match answer:
-        case Taken():
-            return resp.simple("OK")
-        case Busy(wait=wait):
-            return resp.error(f"BUSY {max(1, round(wait * 1000))}" if wait > 0 else "BUSY")
-        case Failed(text=text):
-            return resp.error(f"ERR {text}")
-    raise TypeError(answer)
-
-
-def uselessness(place: Place) -> float:
-    """What a connection that is over counts against its address: silence more than idle words, errors beside."""
-    return (0.0 if place.taken else 0.25 if place.commands else 1.0) + 0.5 * min(place.errors, 4)
-
-
 class Frontend:
     """Owner of the listening socket and of every client's connection.
 
@@ -82,7 +64,9 @@
         self._reads: dict[IOStream, asyncio.Future] = {}   # every connection, with its next read
         self._places: dict[IOStream, Place] = {}           # and its place at the door,
         self._streams: dict[Place, IOStream] = {}          # both ways
-        self._closing = False
+        self._waits: dict[IOStream, asyncio.Future] = {}   # done with the read, or once the connection is given back
+        self._parting = Parting(wheel.after, spawn)        # those given back and not closed yet
+        self._closing = self._ending = False
         self._early = 0                                    # number of the last place that may have waited for the start
         self.observer: Observer | None = None              # of the records, where they are on
         self.duty: Duty | None = None                      # whether clients are taken, where there are operators
@@ -94,7 +78,8 @@
         if gate is not None and gate.arrives(now, host) is not None:
             sock.close()
             return
-        if (self._door.full() or gate is not None and gate.crowded(now, host)) and not self._make_room(host):
+        if (gate is not None and gate.crowded(now, host) and not self._make_room(host)
+                or not self._at_most(self._door.most - 1, host)):
             sock.close()   # all are in the middle of a request; its client has not been read, and comes again
             if gate is not None:
                 gate.no_room(now, host)
@@ -115,21 +100,25 @@
             self.observer.joined(place.number, f"{address[0]}:{address[1]}", len(self._door))
         self._spawn(self._serve(stream, place))
 
-    def beginning(self) -> bool:
-        """Whether a connection is in the middle of a command, or its first may be on its way."""
-        return any(place.state != IDLE for place in self._places.values())
-
     def __len__(self) -> int:
         """Connections of clients."""
-        return len(self._door)
+        return len(self._door) + len(self._parting)
 
     def hold_at_most(self, most: int) -> None:
         """There are so many places from now on; the least missed leave, none while it is answered."""
         self._door.most = most
         if self._gate is not None:
             self._gate.hold_at_most(most)
-        while len(self._door) > most and self._make_room(""):
+        self._at_most(most, "")
+
+    def _at_most(self, most: int, host: str) -> bool:
+        """Whether no more than so many have a place now; a few that were given back may not be closed yet."""
+        while len(self._door) > most:
+            if not self._make_room(host):
+                return False
+        while len(self) > most + self._door.bulk() and self._parting.cut_short():
             pass
+        return True
 
     @staticmethod
     def _read(stream: IOStream) -> asyncio.Future:
@@ -163,14 +152,17 @@
 
     def _drop(self, stream: IOStream, why: str) -> None:
         """The one place where a connection is given back; its `_serve` ends by it, or with it."""
-        stream.close()
         place = self._places.pop(stream, None)
         if place is None:
             return
+        if not stream.closed():
+            self._parting.add(stream, self._reads[stream])
         del self._reads[stream], self._streams[place]
+        if (wait := self._waits.pop(stream, None)) is not None and not wait.done():
+            wait.set_result(None)
         self._door.leave(place)
         if self._gate is not None:
-            self._gate.leave(self._wheel.now, place, uselessness(place))
+            self._gate.leave(self._wheel.now, place, place.uselessness())
         if self.observer is not None:
             now = self._wheel.now
             if stream.error is not None:
@@ -182,10 +174,12 @@
         parser, why = resp.CommandParser(), "its client left"
         due: float | None = self._wheel.now + WHOLE   # the command's end; none between commands
         try:
-            while stream in self._reads:
+            while True:
                 # Danger: a client that sends without pause. What is there already is answered without
                 # waiting, so that nobody else and no tick would get a turn.
                 await asyncio.sleep(0)
+                if stream not in self._reads:
+                    return
                 try:
                     words = parser.next()
                     if words is None:
@@ -214,8 +208,8 @@
                     self._put(place, BUSY)
         except resp.Malformed as bad:
             why = "malformed"
-            self._put(place, BAD)
-            await self._last_words(stream, resp.error(f"ERR Protocol error: {bad}"))
+            if not stream.closed():
+                stream.write(resp.error(f"ERR Protocol error: {bad}"))
         except StreamClosedError:
             pass
         finally:
@@ -225,7 +219,10 @@
         """Whether a connection between commands is to be closed now, because this process takes no more clients.
 
         Danger: one whose first command is on its way, or on which the next has just come. They are answered first.
+        At the very end nothing more is waited for, and what has not been read comes again elsewhere.
         """
+        if self._ending:
+            return not self._reads[self._streams[place]].done()
         if not self._closing and (self.duty is None or self.duty.taking):
             return False
         return place.commands > 0 and not parser.partial and self._silent(place)
@@ -234,21 +231,6 @@
         if place in self._streams:
             self._door.put(place, state, self._wheel.now)
 
-    async def _last_words(self, stream: IOStream, text: bytes) -> None:
-        """Danger: closing over bytes that were not read resets the connection, and the text is lost."""
-        timer = self._wheel.after(LAST, stream.close)
-        try:
-            await stream.write(text)
-            stream.socket.shutdown(socket.SHUT_WR)
-            for _ in range(LAST_READS):
-                await self._reads[stream]
-                await asyncio.sleep(0)
-                self._reads[stream] = self._read(stream)
-        except (StreamClosedError, OSError, KeyError):
-            pass   # the client has closed too, or took too long
-        finally:
-            timer.cancel()
-
     async def _written(self, stream: IOStream, data: bytes | asyncio.Future) -> None:
         """Danger: a client that sends and never reads; its answers must neither wait for ever nor pile up."""
         timer = self._wheel.after(STALLED, stream.close)
@@ -257,25 +239,32 @@
         finally:
             timer.cancel()
 
-    async def _more(self, stream: IOStream, place: Place, parser: resp.CommandParser,
-                    due: float | None) -> bytes:
+    async def _more(self, stream: IOStream, place: Place, parser: resp.CommandParser, due: float | None) -> bytes:
         """The next bytes. Danger: a trickle must not put off the deadline of a command that has begun."""
         if due is None:
             self._put(place, IDLE)
             for other in self._door.too_many(self._wheel.now):
-                self._close_idle(self._streams[other], "too many idle")
-            timer = self._wheel.after(IDLE_FOR if place.taken else UNUSED_FOR,
-                                      lambda: self._close_idle(stream, "idle"))
+                self._close_silent(self._streams[other], "too many idle")
+            seconds, why = IDLE_FOR if place.taken else UNUSED_FOR, "idle"
         else:
+            seconds, why = due - self._wheel.now, "command not whole"
             place.held = parser.held
             self._put(place, BEGUN)
             while sum(p.held for p in self._door.begun()) > self._most_held:
                 self._drop(self._streams[max(self._door.begun(), key=lambda p: p.held)], "memory")
-            timer = self._wheel.after(due - self._wheel.now, lambda: self._drop(stream, "command not whole"))
+            if due <= self._wheel.now and stream in self._reads and not self._reads[stream].done():
+                self._drop(stream, why)   # what had come by then has been looked at
+        timer = self._wheel.after(seconds, lambda: self._close_silent(stream, why))
         try:
-            if stream not in self._reads:
+            read = self._reads.get(stream)
+            if read is not None and not read.done():
+                # Danger: what is held of a command is let go of with its connection, which may be read for a while yet.
+                wait = self._waits[stream] = asyncio.get_running_loop().create_future()
+                read.add_done_callback(lambda _: wait.done() or wait.set_result(None))
+                await wait
+            if stream not in self._reads:   # given back, also while this waited
                 raise StreamClosedError
-            data = await self._reads[stream]
+            data = read.result()
             self._reads[stream] = self._read(stream)
             return data
         finally:
@@ -283,13 +272,12 @@
             # From here on a command may have come, and nobody may close over it.
             self._put(place, BUSY)
 
-    def _close_idle(self, stream: IOStream, why: str) -> None:
-        """Danger: a request that has just come must not be met by a close."""
+    def _close_silent(self, stream: IOStream, why: str) -> None:
+        """Danger: a request that has just come must not be met by a close, be it at the end of its time."""
         if stream in self._places and self._silent(self._places[stream]):
             self._drop(stream, why)
 
-    async def _command(self, stream: IOStream, place: Place, parser: resp.CommandParser,
-                       words: list[bytes]) -> bool:
+    async def _command(self, stream: IOStream, place: Place, parser: resp.CommandParser, words: list[bytes]) -> bool:
         """Answer one command; whether the connection goes on."""
         name = words[0].upper()
         if name == b"ENQUEUE":
@@ -318,7 +306,7 @@
             if read.cancelled() or read.exception() is not None:
                 told()
 
-        def answer(said: Taken | Busy | Failed) -> bool:
+        def answer(said: Answer) -> bool:
             """Write at once, so that the client hears it before any dispatch; False if it was not for it."""
             # Danger: a client that has gone, or floods before its answer, must not be held to be taken on. One that
             # sends a few whole commands behind its first is answered each in turn.
@@ -330,8 +318,10 @@
             except resp.Malformed:
                 there = False
             if there:
-                writes.append(stream.write(encode(said)))
+                writes.append(stream.write(resp.answer(said)))
                 writes[0].add_done_callback(seen)
+                there = not stream.closed()   # by a client that has gone since it was looked at
+            if there:
                 if isinstance(said, Taken) and not said.known and place in self._streams:
                     self._door.took(place)
                     if self._gate is not None:
@@ -375,8 +365,13 @@
 
     # --- The end.
 
-    def stop_accepting(self) -> None:
-        """Close the listening socket and every connection between requests; the others after their answer."""
+    def stop_accepting(self, shared: bool) -> None:
+        """Close the listening socket and every connection between requests; the others after their answer.
+
+        `shared`: the socket stays open elsewhere, and who waits in its queue will be served there.
+        """
+        if not shared:
+            self._listener.take_waiting()
         self._closing = True
         self._listener.close()
         self.empty()
@@ -384,9 +379,18 @@
     def empty(self) -> None:
         """Close the connections between requests."""
         for place in list(self._door.idle()):
-            self._close_idle(self._streams[place], "stopping")
+            self._close_silent(self._streams[place], "stopping")
+
+    def end(self) -> None:
+        """Close every connection, also in the middle of a command. What has come whole is still answered."""
+        self._ending = True
+        for stream, place in list(self._places.items()):
+            if place.state != BUSY:
+                self._close_silent(stream, "the end")
 
     def close(self) -> None:
         self._listener.close()
         for stream in list(self._places):
             self._drop(stream, "the end")
+        while self._parting.cut_short():
+            pass
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -19,7 +19,7 @@
 from ..protocol.calls import Backend
 from ..protocol.discovery import Watch, read_news
 from ..protocol.frontend import Frontend
-from ..protocol.listening import inherited
+from ..protocol.listening import BACKLOG, inherited
 from ..protocol.notices import Notices
 from ..sender.books import Books
 from ..sender.desk import Sender
@@ -47,6 +47,7 @@
 MOST_IDLE = 1.0         # seconds without a beat at the most
 LEAVE_FLEET = 2.0       # seconds more, at the most, to hand over what the fleet's processes share
 LEAVE_AFTER = 3.4       # seconds after SIGTERM; SIGKILL comes 3.7 after it at the earliest
+LAST_ANSWERS = 0.1      # seconds before that in which what was handed in is answered, and no more is read
 
 
 class Process:
@@ -162,7 +163,7 @@
     def _listening(config: Config) -> list[socket.socket]:
         if config.accept_fd is not None:
             return [inherited(config.accept_fd)]
-        return bind_sockets(config.listen[1], config.listen[0], family=socket.AF_INET, backlog=512)
+        return bind_sockets(config.listen[1], config.listen[0], family=socket.AF_INET, backlog=BACKLOG)
 
     def _look(self) -> None:
         self._wheel.after(SIBLING_EVERY, self._look)
@@ -247,6 +248,8 @@
 
     def reload(self) -> None:
         """SIGHUP: go on with what the configuration's file says now; also while stopping."""
+        if self._ended:
+            return
         old, self._config = self._config, reload(self._config)
         if self._operations is not None:
             self._operations.reloaded(self._config is not old)
@@ -277,6 +280,8 @@
             self._stop_accepting()   # what comes from now on is the other's, who reads the same socket
         else:
             self._wheel.after(ACCEPT_FOR, self._stop_accepting)
+        # Danger: a request that was handed in right before the end would hear nothing, and nobody would know of it.
+        self._wheel.after(LEAVE_AFTER - LAST_ANSWERS, self.frontend.end)
         self._wheel.after(LEAVE_AFTER, self._stop.set)
 
     def _leave_fleet(self) -> None:
@@ -284,25 +289,26 @@
             self._leaving = self._loop.create_task(self.node.close())
 
     def _stop_accepting(self) -> None:
-        self.frontend.stop_accepting()
+        self.frontend.stop_accepting(shared=self._config.accept_fd is not None)
         self._leave_when_done()
 
     def _leave_when_done(self) -> None:
         if self._relieved:
             self.sender.hand_over()   # what waits; also what has come to wait again
-        if self.sender.finishing() or self.frontend.beginning():
+        # Danger: a request that has just come on an idle connection, and an answer that its client has not read yet.
+        if self.sender.finishing() or len(self.frontend):
             self._wheel.after(LOOK_EVERY, self._leave_when_done)
         else:
             self._stop.set()
 
     async def run(self) -> int:
         self._loop.add_signal_handler(signal.SIGTERM, self.stop)
-        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
+        # Danger: taken from the loop at the end, SIGHUP would for a moment have its default, which ends the process.
+        signal.signal(signal.SIGHUP, lambda *_: self._loop.call_soon_threadsafe(self.reload))
         self._loop.add_signal_handler(signal.SIGINT, self._stop.set)
         log.info("%s listens on %s:%d", self._config.name, self._config.listen[0], self.frontend.port)
         await self._stop.wait()
-        self._loop.remove_signal_handler(signal.SIGHUP)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)   # by default it would end the process
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
         log.info("the longest hold of the loop: %.1f ms", 1000 * self._hold)
         # Danger: a beat after the journal is closed and its lock let go of. What it sent, the next one would send too.
         self._ended = True
