Test a kill between any two steps of a message, and signals between any two of an upgrade

A message that is turned away and then delivered, one that ends by a notice and one that is repeated each pass through every record, +OK, call and post with a SIGKILL right before it; what may not be repeated goes out once at the most to where it may run, and each that was taken on is delivered or has its notice. The same holds where SIGHUP, SIGTERM (twice), SIGSTOP and SIGKILL come between the steps of an upgrade.

Before the first record a client has heard nothing, and nothing is owed.

--- a/tests/test_races_handover.py
+++ b/tests/test_races_handover.py
@@ -1,10 +1,14 @@
 """Races of a hand-over: signals, deaths and full disks between the steps of an upgrade; what operators tell both."""
 
+import signal
 import time
 from types import SimpleNamespace
 
 import pytest
+from peers import Backend, refuse
+from test_operations import call, eventually, figures
 from test_succession import kept, shift
+from test_upgrades import Pair, Serving
 
 from linkdock.protocol.admin import Refusal
 from linkdock.service.operations import Operations
@@ -13,6 +17,19 @@
 from linkdock.state.journal import MOST_MOVED, owed
 from linkdock.state.rotation import Rotation
 
+
+@pytest.fixture
+def pair(tmp_path):
+    pairs = []
+
+    def begin(backends, **more):
+        pairs.append(Pair(tmp_path, backends, **more))
+        return pairs[-1]
+    yield begin
+    for one in pairs:
+        one.close()
+
+
 # --- What operators tell both.
 
 
@@ -100,3 +117,57 @@
     new.look()
     assert [one.id for one in taken] == ["a"] and not (tmp_path / "journal.1").exists()
     new.close()
+
+
+# --- Signals between the steps.
+
+
+@pytest.mark.parametrize("steps", [
+    "old hup_old start_new hup_old hup_new term_old hup_old hup_new wait_old",
+    "old start_new term_old term_old wait_old",
+    "old start_new term_old term_new wait_old wait_new start_next",
+    "old start_new term_new wait_new term_old wait_old start_next",
+    "old start_new term_old kill_new kill_old start_next",
+    "old start_new term_new kill_old wait_new start_next",
+    "old start_new stop_old start_next kill_old", "old start_new stop_new term_old wait_old kill_new start_next"])
+def test_signals_between_the_steps_of_an_upgrade_end_each_message_once(pair, steps):
+    """Messages of both classes, in a call that never ends, in one that does, and held; `stop` lets one hang."""
+    slow, sound, away = Backend("s1", destination=1), Backend("s2", destination=2), Backend("s3", destination=3)
+    both, programs, asked = pair([slow, sound, away]), {}, {}
+    ends = Serving(sound)
+    for step in steps.split():
+        what, _, who = step.partition("_")
+        if what in ("old", "start"):
+            programs[who or "old"] = both.start()
+            assert call(programs[who or "old"], "maint-on s3").startswith("+OK")
+            for destination in (1, 2, 3):
+                for cls in ("order", "preview"):
+                    name = f"bb{len(asked):02}"
+                    asked[name] = cls, destination
+                    if "stop" not in steps:
+                        assert both.client().enqueue(name, cls=cls, dest=destination, d=4000) == "+OK"
+                    elif programs.keys() == {"old"}:   # later ones may fall to the one that hangs
+                        assert both.client().enqueue(name, cls=cls, dest=destination, d=4000) == "+OK"
+                    else:
+                        del asked[name]
+        elif what == "wait":
+            assert programs.pop(who).wait() == 0
+        elif what == "kill":
+            programs.pop(who).kill()
+        else:
+            number = {"hup": signal.SIGHUP, "term": signal.SIGTERM, "stop": signal.SIGSTOP}[what]
+            programs[who].process.send_signal(number)
+    alive = list(programs.values())[-1]
+    call(alive, "maint-off s3")
+    back = Serving(away)
+    refuse(slow)
+    eventually(lambda: not any(owed(path) for path in both.folder.glob("journal.*")))
+    noticed = {notice["id"] for _, notice in both.discovery.notices.queue}
+    served = [*ends.seen.queue, *back.seen.queue]
+    orders = [name for name in served if asked[name][0] == "order"]
+    assert len(orders) == len(set(orders)), "an order went out twice"
+    for name, (_, destination) in asked.items():
+        assert name in noticed or destination != 1 and name in served, (name, asked[name])
+    assert figures(alive)["edge_relay_open_requests"] == 0
+    for program in programs.values():
+        program.kill()
--- a/tests/test_races_restart.py
+++ b/tests/test_races_restart.py
@@ -1,14 +1,17 @@
 """Races of a restart: what one life left, whatever the next one's settings are, and a journal that has suffered."""
 
+import contextlib
 import errno
 import json
 import os
+import socket
 import struct
+import threading
 import time
 import zlib
 
 import pytest
-from peers import CLASSES, UNHURRIED, Backend, owed, settings, settled
+from peers import CLASSES, PATIENCE, ROOT, UNHURRIED, Backend, owed, settings, settled
 
 from linkdock.state import journal as journals
 from linkdock.state.journal import Journal, Kept
@@ -258,3 +261,91 @@
         if ill.left > 0:
             return
     raise AssertionError("it never came to its end")
+
+
+# --- A kill between any two steps of a message.
+
+KILLS = """
+import os, signal
+if os.environ.get("KILL_AT"):
+    from linkdock.state import journal
+    from tornado.iostream import IOStream
+    left, write, send = [int(os.environ["KILL_AT"])], os.write, IOStream.write_to_fd
+
+    def step():
+        left[0] -= 1
+        if not left[0]:
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    class Os:
+        def __getattr__(self, name):
+            return recorded if name == "write" else getattr(os, name)
+
+    def recorded(file, data):
+        step()
+        return write(file, data)
+
+    def sent(self, data):
+        if bytes(data[:4]) in (b"+OK\\r", b"POST"):
+            step()
+        return send(self, data)
+    journal.os, IOStream.write_to_fd = Os(), sent
+"""
+
+
+@pytest.mark.parametrize("cls, script, steps", [
+    ("order", (503, 200), 8), ("order", (500,), 7), ("preview", (500, 200), 7)],
+    ids=["never ran", "notice", "repeated"])
+def test_a_kill_between_any_two_steps_ends_a_message_once(start, tmp_path, monkeypatch, cls, script, steps):
+    """A step is a record, +OK, the bytes of a call or of a notice; the kill comes right before each."""
+    (tmp_path / "sitecustomize.py").write_text(KILLS)
+    monkeypatch.setenv("PYTHONPATH", f"{tmp_path}:{ROOT}")
+    server, at = Backend("s1"), 0
+    program, running = ended(start, [server], grades=UNHURRIED), False
+    while not running:
+        at += 1
+        monkeypatch.setenv("KILL_AT", str(at))
+        program.start()
+        monkeypatch.delenv("KILL_AT")
+        answers, calls, name, over = list(script), [], f"aa{at:02}", threading.Event()
+        teller = threading.Thread(target=told, args=(server, answers, calls, name, over))
+        teller.start()
+        try:
+            heard = program.client().enqueue(name, cls, 16_000 if cls == "order" else 30_000)
+        except ConnectionError:
+            heard = ""
+        running = at > steps
+        if running:
+            while owed_while_it_runs(program):
+                time.sleep(0.01)
+        program.process.kill() if running else program.process.wait(PATIENCE)
+        program.wait()
+        program.start()
+        while owed_while_it_runs(program):
+            time.sleep(0.01)
+        program.kill()
+        over.set()
+        socket.create_connection(server.sock.getsockname()).close()
+        teller.join(PATIENCE)
+        noticed = [notice["id"] for _, notice in program.discovery.notices.queue]
+        may_have_run = [status for status in calls if status != 503]
+        assert heard == ("" if at < 3 else "+OK"), at
+        assert cls == "preview" or len(may_have_run) <= 1, (at, calls)
+        assert heard == "" or name in noticed or calls[-1:] == [200], (at, calls)
+        assert at > 1 or not calls and name not in noticed   # not on record: nobody has heard of it
+
+
+def told(server, answers, calls, name, over):
+    """Answer the calls of one message with these in turn."""
+    while not over.is_set():
+        line = server.line()
+        while (call := line.call()) is not None:
+            assert call[1]["x-trace-id"] == name
+            calls.append(answers.pop(0) if answers else 200)
+            with contextlib.suppress(OSError):
+                line.answer(calls[-1])
+        line.close()
+
+
+def owed_while_it_runs(program):
+    return journals.owed(program.state / "journal")
