Keep by stories what an answer in the instant of SIGTERM does, and half a one at a kill

Both were found right: the answer delivers, the process ends with nothing owed; half a first line is no proof, and the next life ends the order by a notice and sends nothing.

--- a/tests/test_races_answers.py
+++ b/tests/test_races_answers.py
@@ -5,6 +5,7 @@
 import select
 
 import pytest
+from peers import Backend, owed
 from test_races_endpoints import OK, reset, rig
 
 from linkdock.facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, RESET, TIMED_OUT, TURNED_AWAY
@@ -206,3 +207,33 @@
             await run
             assert r.desk.ends == [NOT_CONNECTED]
     asyncio.run(story())
+
+
+@pytest.mark.parametrize("first", ["answer", "signal", "half"])
+def test_an_answer_in_the_instant_of_the_signal_to_end_delivers_and_nothing_is_owed(start, first):
+    server = Backend("s1")
+    program = start([server])
+    assert program.client().enqueue("aa01", "order", 16000) == "+OK"
+    line, _ = server.take()
+    if first == "half":
+        line.sock.sendall(OK[:10])
+    if first != "answer":
+        program.terminate()
+    line.sock.sendall(OK[10:] if first == "half" else OK)
+    if first == "answer":
+        program.terminate()
+    assert program.wait() == 0
+    assert not owed(program) and program.discovery.notices.empty()
+
+
+def test_half_an_answer_when_the_process_must_end_is_in_doubt_and_ends_by_a_notice_in_the_next_life(start):
+    server = Backend("s1")
+    program = start([server])
+    assert program.client().enqueue("aa01", "order", 16000) == "+OK"
+    line, _ = server.take()
+    line.sock.sendall(OK[:10])
+    program.kill()
+    line.close()
+    program.start()
+    assert program.discovery.notice() == {"id": "aa01", "status": "undeliverable"}
+    assert server.quiet()
