Halve a post of notices that gets a 400 until the bad one is found, and let the rest go together

Seen: one notice that the platform cannot read among 300: from then on notices went one by one, until some post failed another way, however many came at once; with the bad one far behind, the others were heard one post after another.

At fault: `Notices.run` set `_alone` with each 400 and took it back only with a status that is neither 204 nor 400.

Now a 400 halves how many go together and a 204 doubles it. One that gets a 400 alone twice on end is still ended with an error in the log: the first may have been cut on its way.

Test: tests/test_races_notices.py; on the version before, with the bad one first, in the middle or last of 300, more than 40 posts are made, or 64 later notices take more than 8.

--- a/linkdock/protocol/notices.py
+++ b/linkdock/protocol/notices.py
@@ -26,6 +26,7 @@
 PAUSE = 0.02        # first pause after a failure; it doubles
 MOST_PAUSE = 0.1    # Danger: what is owed meanwhile waits for its end, and for a reply that may not come besides
 MOST_BODY = 48 * 1024
+MOST = 1024         # notices in one post
 
 
 class Notices:
@@ -38,7 +39,7 @@
         self._stream: IOStream | None = None
         self._news = asyncio.Event()
         self.observer: Observer | None = None   # of the records, where they are on
-        self._alone = False   # after a 400: one at a time, so that one bad notice cannot hold up the rest
+        self._most = MOST   # halved by each 400, so that one bad notice cannot hold up the rest for long
 
     def __len__(self) -> int:
         return len(self._owed)
@@ -48,7 +49,7 @@
         self._news.set()
 
     async def run(self) -> None:
-        pause = PAUSE
+        pause, doubted = PAUSE, ""
         while True:
             if not self._owed:
                 self._news.clear()
@@ -56,7 +57,7 @@
             batch, size = [], 0
             for request, line in self._owed.items():
                 size += len(line)
-                if batch and (size > MOST_BODY or self._alone):
+                if batch and (size > MOST_BODY or len(batch) == self._most):
                     break
                 batch.append(request)
             fresh, began = self._stream is None or self._stream.closed(), self._wheel.now
@@ -71,15 +72,18 @@
             if self.observer is not None:
                 self.observer.posted(batch, fresh, status, self._wheel.now - began)
             if status == 204:
-                pause = PAUSE
+                pause, self._most = PAUSE, min(MOST, 2 * self._most)
                 for request in batch:
                     self._end(request)
                 continue
             self.close()
-            if status == 400 and self._alone:
-                log.error("notices: the platform cannot read %r", self._owed[batch[0]])
-                self._end(batch[0])
-            self._alone = status == 400
+            if status == 400 and len(batch) > 1:
+                self._most = len(batch) // 2
+                continue
+            if status == 400 and batch[0] == doubted:   # twice: the first may have been cut on its way
+                log.error("notices: the platform cannot read %r", self._owed[doubted])
+                self._end(doubted)
+            doubted = batch[0] if status == 400 else ""
             await self._pause(pause)
             pause = min(MOST_PAUSE, pause * 2)
 
--- a/tests/test_races_notices.py
+++ b/tests/test_races_notices.py
@@ -249,3 +249,27 @@
             post.answer()
             await one.confirmed("a1", "a2")
     play(story())
+
+
+@pytest.mark.parametrize("bad", [0, 37, 299])
+def test_a_notice_that_the_platform_cannot_read_holds_up_no_other_for_long(bad, caplog):
+    async def story():
+        one = Story()
+        async with one.open():
+            ids = [f"a{n}" for n in range(300)]
+            one.owe(*ids)
+            posts, began = 0, one.now
+            while (post := await one.heard()) is not None:
+                posts += 1
+                post.answer(BAD if ids[bad] in post.ids else TOLD)
+            assert posts < 40 and one.now - began < HEARD and sorted(one.ended) == sorted(ids)
+            one.owe(*(f"b{n}" for n in range(64)))   # nor does it slow what comes then
+            posts = 0
+            while (post := await one.heard()) is not None:
+                posts += 1
+                post.answer()
+            assert posts < 8
+        text = json.dumps({"id": ids[bad], "status": "undeliverable"}, separators=(",", ":")) + "\n"
+        assert [r.message for r in caplog.records if "cannot read" in r.message] == [
+            f"notices: the platform cannot read {text.encode()!r}"]
+    play(story())
