Give only one ask in 65 a long patience during an outage of discovery, however long it lasts

Seen: after 64 asks without an answer (45 s of silence, or 13 s of refused connections) each ask was given 2.8 s. One that is out as discovery comes back may stay silent for ever, and the news behind it was then heard up to 3 s late, beyond the 2 s after which a drain binds.

At fault: `Asking.patience` in state/asking.py, which held on to the long patience until an ask was served.

Now the 65th, 130th, ... ask is given 2.8 s, for an agent that is slow to begin, and those between them 0.5 s.

Test: tests/test_races_lists.py; on the version before 235 of 300 asks on end were given 2.8 s, now 4.

--- a/linkdock/state/asking.py
+++ b/linkdock/state/asking.py
@@ -10,7 +10,7 @@
 
 AGENT = 0.2         # seconds between asks of the agent
 PROMPT = 0.5        # and until it has begun to answer, which it does at once unless discovery is down
-MOST_PROMPT = 64    # asks on end that may go unanswered before it is given as long as any other:
+MOST_PROMPT = 64    # asks on end that may go unanswered before one is given as long as any other:
 SILENCE = 2.8       # an empty line comes every 2 s; without any the watch is dead, whatever TCP thinks
 EACH = 0.08         # seconds that each sender adds to the span of the first asks: 40 over 2.5 s had 12 turned away
 FIRST = 1 / 8       # first pause after a refusal, in told periods; it doubles
@@ -57,9 +57,10 @@
         """Until an ask without any answer is given up.
 
         Danger: what the agent has counts as told, also right after an outage of discovery. An ask from before its end
-        may stay silent for ever, and the news behind it would be heard too late for the rule on drains.
+        may stay silent for ever, and the news behind it would be heard too late for the rule on drains. However long
+        the outage lasted: only one ask in so many is given time, for an agent that is slow to begin.
         """
-        return SILENCE if self._paid or self._refused > MOST_PROMPT else PROMPT
+        return SILENCE if self._paid or self._refused % (MOST_PROMPT + 1) == MOST_PROMPT else PROMPT
 
     def moved(self) -> float:
         """Until the first ask at another address, which all of the fleet are told of at once."""
--- a/tests/test_races_lists.py
+++ b/tests/test_races_lists.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import random
+from types import SimpleNamespace
 
 import pytest
 
@@ -230,22 +231,10 @@
     play(story())
 
 
-class Paced:
-    """An asking whose pauses are the test's."""
-
-    def __init__(self, moved, again):
-        self.moved, self.again = lambda: moved, lambda served: again
-
-    def first(self):
-        return 0.0
-
-    def patience(self):
-        return SILENCE
-
-
 def test_an_address_that_moves_as_a_rest_rings_cuts_no_later_rest_short(monkeypatch):
     async def story():
-        one = Story(monkeypatch, Paced(moved=1.0, again=5.0))
+        one = Story(monkeypatch, SimpleNamespace(first=lambda: 0.0, patience=lambda: SILENCE, moved=lambda: 1.0,
+                                                 again=lambda served: 5.0))
         async with one.open():
             await one.agent.asked()
             await one.say(b"HTTP/1.1 503 Told\r\nContent-Length: 0\r\n\r\n")
@@ -303,6 +292,14 @@
     play(story())
 
 
+def test_after_a_long_outage_too_most_asks_are_given_up_soon():
+    asking, waited = Asking(False, 1, 10.0, 1), []
+    for _ in range(300):
+        waited.append(asking.patience())
+        asking.again(served=False)
+    assert waited[:64] == [PROMPT] * 64 and waited.count(SILENCE) == 4 and set(waited) == {PROMPT, SILENCE}
+
+
 # --- What cannot be read.
 
 GOOD = line([row("s1", health="draining"), row("s3")], 8)
