Read nothing more at the very end from a client that is always ahead of its answers

Seen: with a client that sends the next request before it has its answer, the next one had been read whenever the last was answered. Its connection went on through the last tenth of a second too, up to the close of everything, which met a request that was read and not answered. Cause: Frontend._more asks for the next bytes with the ones that it hands on, at the very end as well. Now: once the end has begun nothing more is asked for. What had been read is answered, the rest crosses the close. Ruled out: a stop at an answer that has more whole commands behind it (those were read, and are answered: 8 at most).

--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -156,7 +156,7 @@
         if place is None:
             return
         if not stream.closed():
-            self._parting.add(stream, self._reads[stream])
+            self._parting.add(stream, self._reads[stream] if stream.reading() else None)
         del self._reads[stream], self._streams[place]
         if (wait := self._waits.pop(stream, None)) is not None and not wait.done():
             wait.set_result(None)
@@ -265,7 +265,8 @@
             if stream not in self._reads:   # given back, also while this waited
                 raise StreamClosedError
             data = read.result()
-            self._reads[stream] = self._read(stream)
+            # Danger: who sends before it has its answer has always sent more; at the very end no more is read.
+            self._reads[stream] = asyncio.get_running_loop().create_future() if self._ending else self._read(stream)
             return data
         finally:
             timer.cancel()
--- a/linkdock/streams.py
+++ b/linkdock/streams.py
@@ -82,13 +82,13 @@
     def __len__(self) -> int:
         return len(self._streams)
 
-    def add(self, stream: IOStream, read: asyncio.Future) -> None:
-        """Nothing more is sent on it; its next read is `read`."""
+    def add(self, stream: IOStream, read: asyncio.Future | None) -> None:
+        """Nothing more is sent on it; its next read is `read`, if there is one."""
         shut(stream)
         self._streams[stream] = None
         self._spawn(self._part(stream, read))
 
-    async def _part(self, stream: IOStream, read: asyncio.Future) -> None:
+    async def _part(self, stream: IOStream, read: asyncio.Future | None) -> None:
         try:
             await part(stream, read, self._after)
         finally:
