Tell by a story that bad input of each kind hears an error or a close while good clients are served

Nineteen kinds of input, four of each that stay, go by a reset, go by an end or come three times, in an order drawn from a seed, on a sender with 96 descriptors; in between a kept and a new client hand messages in. Beside it the operators' address: a caller that goes on byte by byte behind its line still reads the answer, which ended in BrokenPipeError while eight reads were counted.

--- a/tests/test_races_close.py
+++ b/tests/test_races_close.py
@@ -2,11 +2,18 @@
 
 import asyncio
 import contextlib
+import random
 import socket
+import struct
+import threading
+import time
+import types
 
 import pytest
+from peers import PATIENCE, Backend, settled
 
 from linkdock.protocol import frontend as front
+from linkdock.protocol.admin import Admin
 from linkdock.protocol.frontend import Frontend
 from linkdock.state.requests import Taken
 from linkdock.state.wheel import Wheel
@@ -202,6 +209,24 @@
     played(story)
 
 
+def test_an_operator_who_goes_on_behind_his_line_still_reads_its_answer():
+    async def story(rig):
+        desk = types.SimpleNamespace(status=lambda: "taking clients")
+        admin = Admin(desk, ("127.0.0.1", 0), rig.wheel, rig.spawn)
+        sock = socket.create_connection(("127.0.0.1", admin.port))
+        sock.setblocking(False)
+        sock.sendall(b"status\n")
+        for _ in range(30):
+            sock.sendall(b"x")
+            await asyncio.sleep(TICK)
+        data = b""
+        while more := await asyncio.wait_for(rig.loop.sock_recv(sock, 4096), 20):
+            data += more
+        assert data == b"+OK taking clients\n"
+        admin.close()
+    played(story)
+
+
 def test_descriptors_of_connections_that_are_being_closed_are_bounded():
     async def story(rig):
         clients = []
@@ -212,3 +237,72 @@
             assert len(rig.front) <= 20 + rig.front._door.bulk()
         assert await rig.heard(clients[0]) == []
     played(story, most=20)
+
+
+def bad_inputs():
+    """Each kind of bytes that are no message, by the words of the pages."""
+    pairs = b"c=preview,d=6000,dest=1"
+    told = {"unreadable": b"\x16\x03\x01\x02\x00", "a line without end": b"*" + b"1" * 5000, "no line": b"*5",
+            "a wrong length": b"*5\r\n$3\r\nENQUEUE\r\n", "a negative length": b"*5\r\n$-7\r\n",
+            "a huge length": b"*5\r\n$7\r\nENQUEUE\r\n$99999999999\r\n", "negative words": b"*-5\r\n", "nothing": b"",
+            "60 MB": b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$3\r\nbad\r\n$%d\r\n%s\r\n$60000000\r\n" % (len(pairs), pairs)
+            + b"x" * 900_000, "half a command": message(b"bad")[:40], "many at once": message(b"bad") * 300}
+    wrong = {"no class": b"d=6000,dest=1", "an unknown class": b"c=none,d=6000,dest=1",
+             "no number": b"c=preview,d=x,dest=1", "an unknown destination": b"c=preview,d=6000,dest=77",
+             "twice": pairs + b",d=1", "no list": b"preview"}
+    for kind, words in wrong.items():
+        told[kind] = command(b"ENQUEUE", b"0", b"bad", words, b"x")
+    told["no id"] = command(b"ENQUEUE", b"0", b"", pairs, b"x")
+    told["too few words"] = command(b"ENQUEUE", b"0", b"bad", pairs)
+    return told
+
+
+def test_bad_input_of_each_kind_hears_an_error_or_a_close_in_time_while_good_clients_are_served(start):
+    """Hundreds at once: of each kind some stay, some go at once by a reset and some by an end, some come again."""
+    server, kinds, rng = Backend("s1"), bad_inputs(), random.Random(5)
+    program = start([server], limits={"sockets": 96, "memory_mb": 32}, limits__max_open=500)
+    names, late, kept = set(), [], program.client()
+
+    def serve():
+        with contextlib.suppress(OSError):
+            while True:
+                line, call = server.take()
+                names.add(call[1]["x-trace-id"])
+                line.answer(200, Connection="close")
+                line.close()
+
+    def stays(kind):
+        began = time.monotonic()
+        with socket.create_connection(("127.0.0.1", program.port), PATIENCE) as sock:
+            heard = b""
+            with contextlib.suppress(ConnectionError):   # a close as well
+                sock.sendall(kinds[kind])
+                heard = sock.recv(4096)
+            took = time.monotonic() - began
+            if heard[:1] not in (b"", b"-") or took > 3.0 + 1.0:   # on a machine with much else to do
+                late.append((kind, heard, took))
+
+    threading.Thread(target=serve, daemon=True).start()
+    order = [(kind, way) for kind in kinds for way in ("stays", "resets", "ends", "again")] * 4
+    rng.shuffle(order)
+    threads = []
+    for n, (kind, way) in enumerate(order):
+        if way == "stays":
+            threads.append(threading.Thread(target=stays, args=(kind,)))
+            threads[-1].start()
+        else:
+            for _ in range(3 if way == "again" else 1):
+                sock = socket.create_connection(("127.0.0.1", program.port), PATIENCE)
+                with contextlib.suppress(ConnectionError):
+                    sock.setblocking(False)
+                    sock.send(kinds[kind])
+                if way == "resets":
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                sock.close()
+        if n % 10 == 0:
+            assert kept.enqueue(f"aa{n:03}") == "+OK" and program.client().enqueue(f"ab{n:03}") == "+OK"
+    for thread in threads:
+        thread.join()
+    assert not late
+    settled(program.client())
+    assert len(threads) == 4 * len(kinds) and "bad" not in names
