Take a client that cannot be reached any more for one that left, wherever a read finds it out

Seen: Tornado closes a stream on any failure of a read, but only a reset becomes a closed stream's error. A read that is made at once, as a connection is taken or for the next command, raises the system's own (no route to the host): in a command it failed the task, as a connection was taken it broke out of the batch and left the rest for a later turn. Cause: Frontend._serve and _accepted caught StreamClosedError alone, which is one kind of OSError; `part` and the operators' address did so since the close became one. Now: all four catch OSError. Ruled out: a descriptor that stays (Tornado closes before it raises); reads that wait for the socket (logged, closed).

--- a/linkdock/protocol/admin.py
+++ b/linkdock/protocol/admin.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
 from ..errors import LinkdockError, log_line
@@ -125,7 +125,7 @@
             whole = end and len(line) <= MOST_LINE
             stream.write(answer(self._desk, line) if whole else b"-ERR the line is too long\n")
             await part(stream, None, self._wheel.after)
-        except StreamClosedError:
+        except OSError:   # a closed stream's among them
             pass   # its caller has gone, or its time is over
         finally:
             timer.cancel()
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -88,7 +88,7 @@
         stream = IOStream(sock, max_buffer_size=BUFFER, max_write_buffer_size=BUFFER)
         try:
             self._reads[stream] = self._read(stream)
-        except StreamClosedError:
+        except OSError:
             return
         place = self._places[stream] = self._door.enter(now)
         place.address, self._streams[place] = host, stream
@@ -210,7 +210,7 @@
             why = "malformed"
             if not stream.closed():
                 stream.write(resp.error(f"ERR Protocol error: {bad}"))
-        except StreamClosedError:
+        except OSError:   # of a closed stream, or of a client that cannot be reached any more
             pass
         finally:
             self._drop(stream, why)
--- a/linkdock/streams.py
+++ b/linkdock/streams.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Callable
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream
 
 PEEK = 64 * 1024   # bytes that are looked at; a client that has sent more floods
 LAST = 0.5         # seconds for a peer to read what was written last and to close,
@@ -65,7 +65,7 @@
             left -= len(await (read or stream.read_bytes(PEEK, partial=True)))
             read = None
             await asyncio.sleep(0)
-    except StreamClosedError:
+    except OSError:   # a closed stream's among them
         pass   # its peer has closed too, or took too long
     finally:
         timer.cancel()
--- a/tests/test_races_close.py
+++ b/tests/test_races_close.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import random
 import socket
 import struct
@@ -11,6 +12,7 @@
 
 import pytest
 from peers import PATIENCE, Backend, settled
+from tornado.iostream import IOStream
 
 from linkdock.protocol import frontend as front
 from linkdock.protocol.admin import Admin
@@ -209,6 +211,41 @@
     played(story)
 
 
+class Unreachable(IOStream):
+    """A stream on which, once something has come, the system reports that its peer cannot be reached."""
+
+    came = 0
+    after = 0
+
+    def read_from_fd(self, buffer):
+        if Unreachable.came > Unreachable.after:
+            raise OSError(errno.EHOSTUNREACH, "No route to host")
+        got = super().read_from_fd(buffer)
+        Unreachable.came += bool(got)
+        return got
+
+
+@pytest.mark.parametrize("after", [-1, 0, 1])
+def test_a_client_that_cannot_be_reached_any_more_is_one_that_left(after, monkeypatch, caplog):
+    """Found out by a read that is made at once: as it is taken, for the next command, while it is parting."""
+    monkeypatch.setattr(front, "IOStream", Unreachable)
+    monkeypatch.setattr(Unreachable, "came", 0)
+    monkeypatch.setattr(Unreachable, "after", after)
+
+    async def story(rig):
+        sock = rig.client()
+        sock.sendall(BAD if after < 1 else b"GET / HTTP/1.1\r\n")
+        await asyncio.sleep(4 * TICK)
+        with contextlib.suppress(ConnectionError):
+            sock.sendall(b"more")
+        with contextlib.suppress(ConnectionError):
+            await rig.heard(sock)
+        while len(rig.front):
+            await asyncio.sleep(TICK)
+    played(story)
+    assert "Traceback" not in caplog.text
+
+
 def test_an_operator_who_goes_on_behind_his_line_still_reads_its_answer():
     async def story(rig):
         desk = types.SimpleNamespace(status=lambda: "taking clients")
