--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -88,7 +88,7 @@
         stream = IOStream(sock, max_buffer_size=BUFFER, max_write_buffer_size=BUFFER)
         try:
             self._reads[stream] = self._read(stream)
-        except StreamClosedError:
+        except OSError:
             return
         place = self._places[stream] = self._door.enter(now)
         place.address, self._streams[place] = host, stream
@@ -156,7 +156,7 @@
         if place is None:
             return
         if not stream.closed():
-            self._parting.add(stream, self._reads[stream])
+            self._parting.add(stream, self._reads[stream] if stream.reading() else None)
         del self._reads[stream], self._streams[place]
         if (wait := self._waits.pop(stream, None)) is not None and not wait.done():
             wait.set_result(None)
@@ -210,7 +210,7 @@
             why = "malformed"
             if not stream.closed():
                 stream.write(resp.error(f"ERR Protocol error: {bad}"))
-        except StreamClosedError:
+        except OSError:   # of a closed stream, or of a client that cannot be reached any more
             pass
         finally:
             self._drop(stream, why)
@@ -265,7 +265,8 @@
             if stream not in self._reads:   # given back, also while this waited
                 raise StreamClosedError
             data = read.result()
-            self._reads[stream] = self._read(stream)
+            # Danger: who sends before it has its answer has always sent more; at the very end no more is read.
+            self._reads[stream] = asyncio.get_running_loop().create_future() if self._ending else self._read(stream)
             return data
         finally:
             timer.cancel()
