Test that what a restart found untried is tried, and signals in the middle of a start

Seen: nothing wrong. What is owed waits for a list and is tried once it has its destination; what may have run and may not be repeated has its notice before any list. A wait told before the restart does not bind after it. What has a second left is tried, what has none has its notice.

--- a/tests/test_races_restart.py
+++ b/tests/test_races_restart.py
@@ -1,17 +1,15 @@
-"""Races of a restart: what one life left, whatever the next one's settings are, and a journal that has suffered."""
+"""Races of a restart: what one life left, whatever the next one's settings are; kills and signals at any step."""
 
 import contextlib
-import errno
-import json
-import os
+import signal
 import socket
-import struct
 import threading
 import time
-import zlib
 
 import pytest
 from peers import CLASSES, PATIENCE, ROOT, UNHURRIED, Backend, owed, settings, settled
+from test_operations import eventually
+from test_upgrades import Serving
 
 from linkdock.state import journal as journals
 from linkdock.state.journal import Journal, Kept
@@ -115,152 +113,105 @@
     assert program.discovery.notice()["id"] == "aa01" and time.monotonic() - began < 10
 
 
-# --- A journal that has suffered.
+# --- What nobody has tried yet.
 
 
-def record(kind, head, body=b""):
-    text = head if isinstance(head, bytes) else json.dumps(head).encode()
-    rest = kind + struct.pack("<H", len(text)) + text + body
-    return struct.pack("<II", len(rest), zlib.crc32(rest)) + rest
+def test_what_waits_for_a_list_is_tried_once_there_is_one(start):
+    server = Backend("s1")
+    program = ended(start, [], known={}, news="subscribe")
+    left_behind(program, message("aa01", until=time.time() + 6), message("aa02", cls="order", until=time.time() + 6),
+                message("aa03", cls="order", until=time.time() + 6, doubt={0}, used=1))
+    program.start()
+    assert program.discovery.notice() == {"id": "aa03", "status": "undeliverable"}   # at once, without a list
+    _, tell = program.discovery.watch(lively=True)
+    tell(8, [], whole=True)   # nothing is listed yet
+    settled(program.client())
+    tell(9, [server.row()])
+    assert served(server, 2) == ["aa01", "aa02"] and program.discovery.notices.empty()
 
 
-HEAD = {"id": "bad", "key": "0", "cls": "preview", "destination": 1, "until": 2e9, "used": 0, "doubt": []}
-SPOILT = {
-    "zeros": bytes(4096), "noise": bytes(range(256)) * 3, "a length of none": struct.pack("<II", 0, 0),
-    "another version": record(b"T", {**HEAD, "shade": 1}), "an unknown kind": record(b"Z", HEAD),
-    "no id": record(b"E", {}), "no object": record(b"N", [1]), "no JSON": record(b"T", b"\xff{"),
-    "deep": record(b"T", b"[" * 60_000), "a short head": struct.pack("<II", 2, zlib.crc32(b"T\0")) + b"T\0",
-    "no name": record(b"T", {**HEAD, "id": 7}), "no time": record(b"T", {**HEAD, "until": "soon"}),
-    "never": record(b"T", {**HEAD, "until": float("nan")}), "for ever": record(b"T", {**HEAD, "until": 10 ** 400}),
-    "no number": record(b"T", {**HEAD, "used": -1}), "tries": record(b"T", {**HEAD, "doubt": ["0"]}),
-    "nowhere": record(b"T", {**HEAD, "destination": 1 << 70}), "no notice": record(b"T", {**HEAD, "notice": 3}),
-    "an odd try": record(b"S", {"id": "aa01", "n": "x"}), "a long try": record(b"S", {"id": "aa01", "n": 1 << 80}),
-    "an odd notice": record(b"O", {"id": "aa01", "notice": {}}), "moved": record(b"M", {"in": "x", "ids": [[]]}),
-    "a try of none": record(b"S", {"id": "aa01"})}
+def test_a_restart_ends_a_wait_that_was_told_before_it(start):
+    server = Backend("s1")
+    program = start([server], grades=UNHURRIED)
+    client = program.client()
+    assert client.enqueue("aa01", d=30_000) == "+OK"
+    line, _ = server.take()
+    line.answer(429, Retry_After="25")
+    settled(client)
+    assert client.enqueue("aa02", "order", 16_000) == "+OK"
+    program.kill()
+    program.start()
+    began = time.monotonic()
+    assert served(server, 2) == ["aa01", "aa02"] and time.monotonic() - began < 8
+    assert program.discovery.notices.empty()
 
 
-@pytest.mark.parametrize("spoilt", SPOILT.values(), ids=SPOILT)
-def test_a_spoilt_record_costs_itself_and_nothing_else(tmp_path, spoilt, caplog):
-    journal = Journal(tmp_path, 3_000_000)
-    journal.take(message("aa01"))
-    journal.close()
-    with open(tmp_path / "journal", "ab") as file:
-        file.write(spoilt)
-    with open(tmp_path / "journal", "ab") as file:
-        file.write(record(b"T", {**HEAD, "id": "aa02"}, b"two") + record(b"S", {"id": "aa01", "n": 0}))
-    after = Journal(tmp_path, 3_000_000)
-    assert set(after.kept) == {"aa01", "aa02"} and after.kept["aa02"].body == b"two"
-    assert after.kept["aa01"].doubt == {0} and after.kept["aa01"].used == 1 and after.kept["aa01"].notice is None
-    assert "journal" in caplog.text
-    after.end("aa01")
-    after.close()
-    assert set(Journal(tmp_path, 3_000_000).kept) == {"aa02"}
-
-
-def test_a_byte_that_has_flipped_costs_one_record(tmp_path):
-    journal = Journal(tmp_path, 3_000_000)
-    for n in range(3):
-        journal.take(message(f"aa0{n}", body=b"x" * 40))
-    journal.close()
-    data = (tmp_path / "journal").read_bytes()
-    for at in range(len(data) // 3 + 4, 2 * len(data) // 3):   # beyond its length: one too long looks torn
-        (tmp_path / "journal").write_bytes(data[:at] + bytes([data[at] ^ 0x10]) + data[at + 1:])
-        after = Journal(tmp_path, 3_000_000)
-        assert set(after.kept) == {"aa00", "aa02"}, at
-        after.close()
-
-
-def test_wherever_a_journal_is_cut_what_stands_before_counts(tmp_path):
-    journal = Journal(tmp_path, 3_000_000)
-    for n in range(3):
-        journal.take(message(f"aa0{n}"))
-    journal.close()
-    data = (tmp_path / "journal").read_bytes()
-    for size in range(len(data)):
-        (tmp_path / "journal").write_bytes(data[:size])
-        after = Journal(tmp_path, 3_000_000)
-        assert len(after.kept) == size * 3 // len(data)
-        assert after.take(message("bb01"))
-        after.close()
-        assert "bb01" in Journal(tmp_path, 3_000_000).kept
-
-
-def test_an_id_that_is_owed_already_is_not_taken_on_once_more(tmp_path):
-    journal = Journal(tmp_path, 100_000)
-    assert journal.take(message("aa01", body=b"x" * 9000))
-    journal.notice("aa01", {"id": "aa01", "status": "deferred"})
-    assert not journal.take(message("aa01", body=b"another"))
-    journal.end("aa01")
-    assert journal.take(message("aa01"))
-    journal.close()
-    with open(tmp_path / "journal", "ab") as file:   # an earlier version wrote so
-        file.write(record(b"T", {**HEAD, "id": "aa01"}, b"x" * 30_000) * 3)
-    after = Journal(tmp_path, 100_000)
-    assert set(after.kept) == {"aa01"} and after.take(message("aa02", body=b"x" * 2000))
-
-
-# --- A disk that is full, or can only be read.
-
-
-class IllOs:
-    """The calls that change a disk fail from the nth on; a write may leave half of it there."""
-
-    CHANGES = ("write", "open", "ftruncate", "replace", "unlink")
-
-    def __init__(self, well_for, half):
-        self.left, self.half = well_for, half
-
-    def __getattr__(self, name):
-        return self.call(name) if name in self.CHANGES else getattr(os, name)
-
-    def call(self, name):
-        def tried(*arguments, **more):
-            if self.left <= 0 and not (name == "open" and not arguments[1] & os.O_CREAT):
-                if name == "write" and self.half:
-                    os.write(arguments[0], arguments[1][:len(arguments[1]) // 2])
-                raise OSError(errno.EROFS, "Read-only file system")
-            self.left -= 1
-            return getattr(os, name)(*arguments, **more)
-        return tried
-
-
-def on_an_ill_disk(folder, monkeypatch, ill):
-    journal = Journal(folder, 40_000)
-    monkeypatch.setattr(journals, "os", ill)
-    monkeypatch.setattr(journals.Path, "unlink", lambda self, missing_ok=False: ill.unlink(self))
-    taken, sent = set(), set()
-    for n in range(12):
-        name = f"aa{n:02}"
-        if journal.take(message(name, body=b"x" * 1500)):
-            taken.add(name)
-        if journal.sent(name, 0):
-            sent.add(name)
-        journal.never(name, 0)
-        journal.notice(name, {"id": name, "status": "undeliverable"})
-        if n % 3 == 0:
-            journal.end(name)
-            taken.discard(name)
-    journal.adopt([message("cc01")])
-    journal.hand_over(sorted(taken)[:1], folder / "handed.1.1", folder / "journal.2")
-    monkeypatch.undo()
-    assert all(kept.notice for kept in journal.kept.values() if kept.id in taken)   # a rewrite puts it on record
-    assert journal.take(message("bb01")) and journal.sent("bb01", 3)
-    journal.close()
-    after = {**journals.owed(folder / "journal"), **journals.owed(folder / "journal.2")}
-    assert taken <= after.keys() and after["bb01"].used == 4
-    assert all(after[name].used for name in sent & taken)
-
-
-@pytest.mark.parametrize("half", [False, True])
-def test_a_disk_that_takes_no_more_stops_nothing_that_serves(tmp_path, monkeypatch, half):
-    """From any call on: nothing raises, what is said to be on record is, and all goes on once it takes files again."""
-    for begins in range(200):
-        (folder := tmp_path / str(begins)).mkdir()
-        ill = IllOs(begins, half)
-        on_an_ill_disk(folder, monkeypatch, ill)
-        if ill.left > 0:
-            return
-    raise AssertionError("it never came to its end")
+def test_with_little_time_left_it_is_tried_and_with_none_it_has_its_notice_at_once(start):
+    server = Backend("s1")
+    program = ended(start, [server], limits__max_open=200)
+    begun = time.time()
+    left_behind(program, *(message(f"aa{n:02}", until=begun + n / 4, cls=("preview", "order")[n % 2])
+                           for n in range(24)), message("bb01", until=begun - 3600))
+    served_by = Serving(server)
+    program.start()
+    ready = time.time()
+    could = {f"aa{n:02}" for n in range(24) if begun + n / 4 > ready + 1.0}
+    assert len(could) > 12
+    eventually(lambda: not journals.owed(program.state / "journal"))
+    noticed = {notice["id"] for _, notice in program.discovery.notices.queue}
+    assert could <= set(served_by.seen.queue) and not noticed & could and "bb01" in noticed
+
+
+STARTS = """
+import os, signal
+if os.environ.get("SIGNALS"):
+    from linkdock.sender.desk import Sender
+    restore = Sender.restore
+
+    def signalled(self):
+        before, after = [[getattr(signal, name) for name in part.split()] for part in os.environ["SIGNALS"].split(",")]
+        for number in before:
+            os.kill(os.getpid(), number)
+        restore(self)
+        for number in after:
+            os.kill(os.getpid(), number)
+    Sender.restore = signalled
+"""
+
+
+@pytest.mark.parametrize("signals, code", [
+    ("SIGTERM,", -15), (",SIGTERM", -15), ("SIGHUP,SIGTERM SIGTERM", -15), ("SIGHUP SIGHUP,SIGHUP", None),
+    ("SIGKILL,", -9), (",SIGKILL", -9)])
+def test_signals_in_the_middle_of_a_start_lose_nothing(start, tmp_path, monkeypatch, signals, code):
+    server = Backend("s1")
+    program = ended(start, [server], grades=UNHURRIED)
+    left_behind(program, message("aa01", until=time.time() + 30),
+                message("aa02", cls="order", until=time.time() + 16, doubt={0}, used=1))
+    (tmp_path / "sitecustomize.py").write_text(STARTS)
+    monkeypatch.setenv("PYTHONPATH", f"{tmp_path}:{ROOT}")
+    monkeypatch.setenv("SIGNALS", signals)
+    if code is None:
+        program.start()   # SIGHUP before there is anything to reload
+    else:
+        with pytest.raises(AssertionError):   # it never listens
+            program.start()
+        assert program.wait() == code
+        monkeypatch.delenv("SIGNALS")
+        program.start()
+    assert program.discovery.notice() == {"id": "aa02", "status": "undeliverable"}
+    assert served(server, 1) == ["aa01"]
+
+
+def test_signals_on_top_of_each_other_end_a_process_once(start):
+    server = Backend("s1")
+    program = start([server], grades=UNHURRIED)
+    assert program.client().enqueue("aa01", "order", 16_000) == "+OK"
+    line, _ = server.take()
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        program.process.send_signal(number)
+    program.logged("reload")
+    line.answer(200)
+    assert program.wait() == 0 and not owed(program) and program.discovery.notices.empty()
 
 
 # --- A kill between any two steps of a message.
