Read what an older process has learned with care before it reaches the decisions

Seen, by a unit: rows of another shape (a version that learns something else, a file that was spoilt) were handed on as they stood. Before the first tick they wait until the list is in, so that a word for a limit would raise in the middle of that tick and end the new process of an upgrade. Deep nesting raised RecursionError at once, in the look that SIGTERM makes as well, after which nothing tells that process to leave.

Checked and ruled out: a file that is half written is never in its place; too many values were refused before.

Lines at fault: Shift._learn, which took any row of the right length and did not expect RecursionError.

--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -230,11 +230,13 @@
         if self._learned_from is not None or not older:
             return
         try:
-            rows = [Learned(*row) for row in json.loads(self._succession.learned(older).read_bytes())]
+            # Danger: a row of another version, which would only be found out in the middle of a tick.
+            rows = [Learned(str(name), float(limit), float(part), *(None if at is None else float(at) for at in times))
+                    for name, limit, part, *times in json.loads(self._succession.learned(older).read_bytes())]
             self._facade.told(rows)
         except FileNotFoundError:
             return
-        except (OSError, ValueError, TypeError) as bad:
+        except (OSError, ValueError, TypeError, OverflowError, RecursionError) as bad:
             log.warning("what process %d has learned cannot be read: %s", older, bad)
         else:
             log.info("%d servers are known from process %d", len(rows), older)
--- a/tests/test_races_handover.py
+++ b/tests/test_races_handover.py
@@ -273,6 +273,21 @@
     new.close()
 
 
+@pytest.mark.parametrize("told", ['[["s1", "20", 0.5, null, "x"]]', '[["s1", [], 0.5, null, null]]', "[" * 60_000,
+                                  '[["s1", 20.0, 0.5, null]]', '[["s1", 1%s, 0.5, null, null]]' % ("0" * 400), "7"],
+                         ids=["a word", "a list", "deep", "short", "huge", "no rows"])
+def test_what_an_older_process_has_learned_in_another_shape_is_passed_over(tmp_path, caplog, told):
+    old, new = shift(tmp_path), shift(tmp_path)
+    alone(new)
+    new._facade.told = lambda rows: pytest.fail(f"told {rows}")
+    (tmp_path / "learned.1").write_text(told)
+    for _ in range(2):
+        new.look()
+    assert caplog.text.count("cannot be read") == 1
+    old.close()
+    new.close()
+
+
 # --- Signals between the steps.
 
 
