Look for what follows a spoilt record at its end before looking inside it

Seen, by a unit: a client's body that holds the bytes of a whole record, and a byte flipped in the head before it.

Checked and ruled out: a record torn at the end of the file, which is what a kill leaves, is not looked into at all. Only where the length itself is spoilt is there nothing better than the search.

Line at fault: the search in `records`, which began right behind the spoilt record's own head.

--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -56,19 +56,22 @@
 def records(data: bytes) -> Iterator[tuple[int, bytes, bytes, bytes]]:
     """The whole records of a journal: where each ends, its kind, head and body. A torn one ends them.
 
-    Danger: a byte that the disk has spoilt, or a block of zeros. What follows is looked for by how every head begins.
+    Danger: a byte that the disk has spoilt, or a block of zeros. The next record stands where the spoilt one ends, if
+    its length is right; else it is looked for by how every head begins. Not before: a client's body may hold what
+    looks like a record.
     """
     at = 0
     while at >= 0 and at + HEAD.size <= len(data):
         length, check, kind, head_size = HEAD.unpack_from(data, at)
-        whole = HEAD.size - 8 <= length <= MOST_RECORD
-        rest = data[at + 8:at + 8 + length] if whole else b""
-        if whole and len(rest) < length:
+        whole, end = HEAD.size - 8 <= length <= MOST_RECORD, at + 8 + length
+        if whole and end > len(data):
             return
-        if whole and zlib.crc32(rest) == check:
-            at += 8 + length
-            rest = rest[HEAD.size - 8:]
-            yield at, kind, rest[:head_size], rest[head_size:]
+        if whole and zlib.crc32(data[at + 8:end]) == check:
+            body = at + HEAD.size + head_size
+            yield end, kind, data[at + HEAD.size:min(body, end)], data[body:end]
+            at = end
+        elif whole and (end == len(data) or data.startswith(HEAD_BEGINS, end + HEAD.size)):
+            at = end
         else:
             at = max(-1, data.find(HEAD_BEGINS, at + 1 + HEAD.size) - HEAD.size)
 
--- a/tests/test_races_handover.py
+++ b/tests/test_races_handover.py
@@ -130,6 +130,20 @@
         after.close()
 
 
+def test_a_body_that_looks_like_a_record_counts_as_none_where_its_own_is_spoilt(tmp_path):
+    journal = Journal(tmp_path, 3_000_000)
+    journal.take(message("aa00"))
+    for name in ("aa01", "aa02"):
+        journal.take(message(name, body=record(b"E", {"id": "aa00"})))
+    journal.close()
+    data = (tmp_path / "journal").read_bytes()
+    for name in (b"aa01", b"aa02"):
+        (tmp_path / "journal").write_bytes(data.replace(name, b"????"))
+        after = Journal(tmp_path, 3_000_000)
+        assert set(after.kept) == {"aa00", "aa01", "aa02"} - {name.decode()}
+        after.close()
+
+
 def test_wherever_a_journal_is_cut_what_stands_before_counts(tmp_path):
     journal = Journal(tmp_path, 3_000_000)
     for n in range(3):
