--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -73,12 +73,9 @@
             body = at + HEAD.size + head_size
             yield end, kind, data[at + HEAD.size:min(body, end)], data[body:end]
             at = end
-        elif whole and (end == len(data) or data.startswith(HEAD_BEGINS, end + HEAD.size)):
-            at = end
         else:
-            behind = at + 8 + length
-            fits = whole and (behind == len(data) or data.startswith(HEAD_BEGINS, behind + HEAD.size))
-            at = behind if fits else max(-1, data.find(HEAD_BEGINS, at + 1 + HEAD.size) - HEAD.size)
+            fits = whole and (end == len(data) or data.startswith(HEAD_BEGINS, end + HEAD.size))
+            at = end if fits else max(-1, data.find(HEAD_BEGINS, at + 1 + HEAD.size) - HEAD.size)
             yield at, SPOILT, b"", b""
 
 
