Spoilt settings end in a named error, on SIGHUP the old ones stay; null is a missing key

Seen: a configuration file with a null or a word in extra.zone-fee, a whole number of 400 digits for any number of seconds, or a port of 5,000 digits raised TypeError, ValueError or OverflowError out of check(), which neither main() (LinkdockError) nor reload() (ConfigError) catches: a start ended in a traceback, and a SIGHUP left a traceback in the log (the old configuration stayed, but the operators' figures were not told of a refusal). Infinity, an aim or deadline of 0, and tip-after or fall-multiple of 0 were taken on; the first message or the first outage then divided by zero (cold.py open_at, next_trial; dispatch.py rank). A list too deep to read left a start with RecursionError. On the simulator's wire the same left as ValueError without a code, report: null as AttributeError, and null was never taken for a missing key.

Checked and ruled out: NaN (refused before), bool for numbers, a missing required key, hexadecimal of any length.

At fault: service/config.py _Reader.get, _at_least, address, _settings (zone-fee, separate-routes, bundle-max); wire.py read_settings and the second reading of report.fields; interface.py has no bound for aim, deadline, group, fall_multiple, tip_after. A tick is at most 0.1 s on sockets, whatever is told: a client waits 0.4 s.

--- a/linkdock/interface.py
+++ b/linkdock/interface.py
@@ -9,9 +9,11 @@
 from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
+from math import inf
 from typing import Protocol
 
 Host = Hashable
+GROUPS = ("all", "zone")   # whose endpoints drop repeats of a keyed message
 MOST_NOTE = 256   # bytes that one note to a sibling may hold
 
 
@@ -66,6 +68,13 @@
     window: float = 0.0
     group: str = "all"
 
+    def __post_init__(self) -> None:
+        for name in ("aim", "deadline"):
+            if not 0 < getattr(self, name) < inf:
+                raise ValueError(f"{name} must be above 0 and finite")
+        if self.group not in GROUPS:
+            raise ValueError(f"group must be one of {', '.join(GROUPS)}")
+
 
 @dataclass(slots=True)
 class DestinationKind:
@@ -120,6 +129,11 @@
         for name in ("slots", "max_open", "max_attempts", "relays"):
             if getattr(self, name) < 1:
                 raise ValueError(f"{name} must be at least 1")
+        for name in ("fall_multiple", "tip_after"):   # paces and spans are multiples of these
+            if not 0 < getattr(self, name) < inf:
+                raise ValueError(f"{name} must be above 0 and finite")
+        if not self.classes:
+            raise ValueError("classes must not be empty")
         if self.subscribe and not self.ask_within > 0:
             raise ValueError("ask_within must be above 0 where the list must be asked for")
         if not 0 <= self.me < self.relays:
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -5,16 +5,19 @@
 import json
 import logging
 import os
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, replace
+from math import inf
 from pathlib import Path
 
 from ..errors import LinkdockError, log_line
-from ..interface import DestinationKind, Effect, MessageClass, Settings
+from ..interface import GROUPS, DestinationKind, Effect, MessageClass, Settings
 
 log = logging.getLogger(__name__)
 
 _MISSING = object()
+MOST_NUMBER = 1e15   # of anything that is told: with any more it cannot be counted on
+MOST_TICK = 0.1      # seconds: a client waits 0.4 for its answer, whatever the bench's own ticks are
 OPERATORS = 32   # descriptors that neither clients nor calls can take from the operators' address
 EFFECTS = {"read_like": Effect.SAFE, "idempotency_key": Effect.KEYED, "non_idempotent": Effect.UNSAFE}
 
@@ -105,12 +108,15 @@
         value = self._told.get(key, default)
         if value is _MISSING:
             raise ConfigError(f"{self.name(key)} is missing")
+        if value is None and default is not _MISSING:
+            value = default   # null says as little as a missing key
         if value is default:
             return value
         fits = isinstance(value, (int, float) if kind is float else kind)
         if not fits or isinstance(value, bool) and kind is not bool:
-            raise ConfigError(f"{self.name(key)} must be {_KINDS[kind]}, not {value!r}")
-        return kind(value)
+            raise ConfigError(f"{self.name(key)} must be {_KINDS[kind]}, not {value!r:.60}")
+        # Danger: a whole number of any length, which is no float.
+        return kind(value) if kind is not float or abs(value) < MOST_NUMBER else inf if value > 0 else -inf
 
     def number(self, key: str, default: object = _MISSING, least: float = 0.0) -> float:
         return self._at_least(key, self.get(key, float, default), least)
@@ -119,14 +125,22 @@
         return self._at_least(key, self.get(key, int, default), least)
 
     def _at_least(self, key: str, value, least):
-        if not value >= least:
-            raise ConfigError(f"{self.name(key)} must be at least {least}, not {value!r}")
+        if not least <= value < MOST_NUMBER:
+            raise ConfigError(f"{self.name(key)} must be at least {least} and below {MOST_NUMBER:g}, not {value!r:.60}")
         return value
 
-    def choice(self, key: str, choices: Mapping[str, object]):
-        value = self.get(key, str)
+    def each(self, key: str, fits: Callable[[object], bool], what: str) -> list:
+        """A list whose every item fits; empty where there is none."""
+        told = self.get(key, list, [])
+        for n, one in enumerate(told):
+            if not fits(one):
+                raise ConfigError(f"{self.name(key)}[{n}] must be {what}, not {one!r:.60}")
+        return told
+
+    def choice(self, key: str, choices: Mapping[str, object], default: object = _MISSING):
+        value = self.get(key, str, default)
         if value not in choices:
-            raise ConfigError(f"{self.name(key)} must be one of {', '.join(choices)}, not {value!r}")
+            raise ConfigError(f"{self.name(key)} must be one of {', '.join(choices)}, not {value!r:.60}")
         return choices[value]
 
     def part(self, key: str, default: object = _MISSING) -> _Reader:
@@ -139,8 +153,8 @@
     def address(self, key: str) -> tuple[str, int]:
         value = self.get(key, str)
         host, _, port = value.rpartition(":")
-        if not host or not (port.isascii() and port.isdigit()) or int(port) > 65535:
-            raise ConfigError(f"{self.name(key)} must be an address with a port, not {value!r}")
+        if not host or not (port.isascii() and port.isdigit() and len(port) < 6) or int(port) > 65535:
+            raise ConfigError(f"{self.name(key)} must be an address with a port, not {value!r:.60}")
         return host, int(port)
 
 
@@ -155,7 +169,7 @@
         raise ConfigError("RELAY_CONFIG is not set")
     try:
         told = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as bad:
+    except (OSError, ValueError, RecursionError) as bad:
         raise ConfigError(f"RELAY_CONFIG: {path}: {bad}") from None
     if not os.path.isdir(environ.get("RELAY_STATE", "")):
         raise ConfigError(f"RELAY_STATE must name a folder, not {environ.get('RELAY_STATE')!r}")
@@ -185,7 +199,7 @@
     """
     try:
         new = load(environ)
-    except (ConfigError, RecursionError) as bad:
+    except ConfigError as bad:
         log.error("reload: the old configuration stays: %s", log_line(bad))
         return old
     for key in vars(old):
@@ -203,7 +217,7 @@
     try:
         number = int(seed, 16)
     except ValueError:
-        raise ConfigError(f"seed must be hexadecimal, not {seed!r}") from None
+        raise ConfigError(f"seed must be hexadecimal, not {seed!r:.60}") from None
     return Config(
         name=top.get("name", str), listen=top.address("listen"), discovery=top.address("discovery"),
         state=state, seed=number, memory_mb=limits.number("memory_mb", 192.0, 32.0),
@@ -228,17 +242,19 @@
     limits, extra, rules = told.part("limits"), told.part("extra"), told.part("rules")
     tariffs = told.part("tariffs", {})
     classes = [MessageClass(
-        effect=g.choice("idempotency", EFFECTS), aim=g.number("aim"), deadline=g.number("hard-limit"),
+        effect=g.choice("idempotency", EFFECTS), aim=g.number("aim", least=0.001),
+        deadline=g.number("hard-limit", least=0.001),
         worth=g.number("importance", 1.0), late_share=g.number("late-share", 0.0),
         in_order=g.get("keep-order", bool, False), window=g.number("window", 0.0),
-        group=g.get("group", str, "all")) for g in told.parts("grades")]
+        group=g.choice("group", {name: name for name in GROUPS}, "all")) for g in told.parts("grades")]
     if not classes:
         raise ConfigError(f"{told.name('grades')} must not be empty")
-    apart, batch = extra.get("separate-routes", list, []), extra.get("bundle-max", list, [])
-    for n, most in enumerate(batch):
-        if not isinstance(most, int) or most < 1:
-            where = f"{extra.name('bundle-max')}[{n}]"
-            raise ConfigError(f"{where} must be a whole number of at least 1, not {most!r}")
+    names = [g.get("name", str) for g in told.parts("grades")]
+    if len(set(names)) < len(names):
+        raise ConfigError(f"{told.name('grades')} must have names of their own, not {', '.join(names)}")
+    apart = extra.each("separate-routes", lambda one: isinstance(one, bool), "true or false")
+    batch = extra.each("bundle-max", lambda one: type(one) is int and one >= 1, "a whole number of at least 1")
+    fees = extra.each("zone-fee", lambda one: type(one) in (int, float) and abs(one) < MOST_NUMBER, "a number")
     count = max(len(apart), len(batch), len(told.get("machine-types", list, [])), 1)
     kinds = [DestinationKind(bool(apart[k]) if k < len(apart) else False, batch[k] if k < len(batch) else 1)
              for k in range(count)]
@@ -249,7 +265,7 @@
     return Settings(
         classes=classes, kinds=kinds, slots=extra.count("calls-out", least=1),
         max_open=limits.count("max-open", least=1), max_attempts=limits.count("max-attempts", least=1),
-        relays=relays, me=me, tick=told.number("tick", 0.005, 0.001),
+        relays=relays, me=me, tick=min(told.number("tick", 0.005, 0.001), MOST_TICK),
         connect_timeout=limits.number("connect-timeout", 1.0, 0.01),
         idle_close=limits.number("idle-close", 5.0, 0.1),
         max_retry_after=limits.number("max-retry-after", 0.0),
@@ -257,14 +273,14 @@
         probes=False,   # no probe is spoken on sockets
         second_copies=limits.get("second-copies", bool, False),
         subscribe=False,   # the watch is this program's own, and asks by itself
-        ask_within=rules.number("ask-within", 10.0) if subscribe else 10.0,
+        ask_within=rules.number("ask-within", 10.0, 0.1) if subscribe else 10.0,
         halves=extra.get("loses-worth", str, "even") == "by_half", rough_weights=weights != "nominal",
         told_weights=weights in ("nominal", "rough"),
         tenant_quota=[p.number("quota-per-s", 0.0) for p in told.parts("projects", [])],
         over_share_worth=told.number("over-share-worth", 1.0),
-        zone_fee=[float(fee) for fee in extra.get("zone-fee", list, [])],
+        zone_fee=[float(fee) for fee in fees],
         handshake_price=tariffs.number("handshake", 0.0), refusal_price=extra.number("refusal-cost", 0.0),
-        drain_grace=rules.number("drain-grace", 0.0), fall_multiple=rules.number("fall-multiple", 1.0),
-        tip_after=rules.number("tip-after", 1.0), cold_share=rules.number("cold-share", 1.0),
+        drain_grace=rules.number("drain-grace", 0.0), fall_multiple=rules.number("fall-multiple", 1.0, 0.01),
+        tip_after=rules.number("tip-after", 1.0, 0.01), cold_share=rules.number("cold-share", 1.0),
         cold_time=rules.number("cold", 0.0), order_rest=rules.number("settle-after-doubt", 0.0),
         answer_slack=rules.number("answer-slack", 0.0))
--- a/linkdock/wire.py
+++ b/linkdock/wire.py
@@ -58,20 +58,35 @@
 
 def read_settings(text: bytes) -> i.Settings:
     """The typed settings from the first message's JSON; unknown keys are skipped."""
+    return _read(text)[0]
+
+
+def _read(text: bytes) -> tuple[i.Settings, list[str]]:
+    """The settings, and what the values of a load report are called."""
     try:
-        told = json.loads(text)
-    except ValueError as bad:
+        # Null says as little as a missing key.
+        told = json.loads(text, object_hook=lambda one: {k: v for k, v in one.items() if v is not None})
+    except (ValueError, RecursionError) as bad:
         raise WireError(f"settings are not JSON: {bad}") from None
     if not isinstance(told, dict):
         raise WireError("settings are no object")
     try:
-        return _settings(told)
+        return _settings(told), _fields(told)
     except KeyError as bad:
         raise WireError(f"settings lack {bad.args[0]!r}") from None
-    except (TypeError, AttributeError, IndexError) as bad:
+    except WireError:
+        raise
+    except (TypeError, AttributeError, IndexError, ValueError, OverflowError) as bad:
         raise WireError(f"settings are malformed: {bad}") from None
 
 
+def _fields(told: dict) -> list[str]:
+    fields = told.get("report", {}).get("fields", [])
+    if not all(isinstance(name, str) for name in fields):
+        raise WireError("report.fields must be names")
+    return list(fields)
+
+
 def _settings(told: dict) -> i.Settings:
     limits, extra, rules, tariffs = told["limits"], told["extra"], told["rules"], told.get("tariffs", {})
     classes = [i.MessageClass(
@@ -163,8 +178,7 @@
         if code == 0:
             seed, offset, size = values
             text = self._cut(tail, offset, size)
-            settings = read_settings(text)
-            self.fields[relay] = json.loads(text).get("report", {}).get("fields", [])
+            settings, self.fields[relay] = _read(text)
             return relay, Create(seed, settings)
         if code == 1:
             how, version, bank = values
