Decisions: a moved server, a store of one, a long time and a key's rest are met rightly

One listed as of another kind ended the pass with KeyError (rate, on_message, learn: kinds has no row for it). Two processes' journals that are taken up together can bring such a one behind another.

Without the mend: DID refuse [1], ZeroDivisionError, sent [2] for [3], KeyError 1, sent [2] for []: 6 tests fail.

--- a/linkdock/decisions/cold.py
+++ b/linkdock/decisions/cold.py
@@ -20,10 +20,12 @@
 class ColdReturn(Pace):  # what a link that was stopped, and a route at its limit, may be given
     def suspect(self, link: Link, since: float) -> None:
         """A link that wakes under suspicion: its first call is a trial, its answer begins a cold return."""
-        link.down_at, link.ramp, link.since, link.bad, link.fails = self.now, None, since, BAD, FAILS
-        self.down[link] = None
+        self.stop(link, since)
+        link.bad, link.fails, link.route.trial_at = BAD, FAILS, -inf
+
+    def stop(self, link: Link, since: float) -> None:
+        link.down_at, link.ramp, link.since, self.down[link] = self.now, None, since, None
         link.route.pause, link.route.trials = RETRY_FIRST * max(e.x for e in self.usual), 0
-        link.route.trial_at = -inf
 
     def next_trial(self, link: Link, at_least: float) -> None:
         """One trial at a time for a route; those of all relays together stay within what it can take cold."""
@@ -58,8 +60,7 @@
 
     def open_at(self, link: Link) -> float:
         """When the link may take a call: now, later, or (inf) not before some outcome."""
-        route, now = link.route, self.now
-        at = route.wait_until
+        route, now, at = link.route, self.now, link.route.wait_until
         if link.down_at is not None:
             return max(at, route.trial_at)
         if route.woken and any(k.calls for k in self.dests[link.entry.destination].links if k.route is route):
--- a/linkdock/decisions/dispatch.py
+++ b/linkdock/decisions/dispatch.py
@@ -18,7 +18,7 @@
 class Dispatch(Health):  # the messages that wait, and the calls made of them
     def worth(self, m: Msg, at: float) -> float:
         """What the message still earns if it is delivered then."""
-        c, age = m.rules, at - m.start
+        c, age = m.rules, min(at - m.start, m.rules.deadline)   # a client may tell a time beyond it
         if at >= m.deadline or c.effect is Effect.KEYED and m.doubt is not None and at > m.doubt + c.window:
             return 0.0
         if age <= c.aim:
@@ -53,7 +53,7 @@
                     self.give_up(m)
                 else:
                     self.sweep_at = min(self.sweep_at, at)
-        excess = len(self.msgs) - int(ROOM * self.s.max_open)
+        excess = len(self.msgs) - max(1, int(ROOM * self.s.max_open))
         if excess > 0:
             # A full store turns away the next whatever its worth; choose instead.
             ranked = []
@@ -97,7 +97,7 @@
         """Whether the message's key lets it go now."""
         if not m.key:
             return True
-        rest = self.rest.get(m.key, -inf) if m.attempts == 0 else -inf
+        rest = self.rest.get(m.key, -inf) if m.attempts == m.before else -inf
         self.due = min(self.due, rest if rest > self.now else inf)
         return self.keys[m.key][0] is m and rest <= self.now
 
@@ -108,13 +108,9 @@
 
     def candidate(self, dest: Dest) -> tuple[float, Msg, Link] | None:
         """The message of one destination that loses most by waiting behind its peers, and its link."""
-        open_links = []
-        for link in (k for k in dest.links if k.ready):
-            at = self.open_at(link)
-            if at <= self.now:
-                open_links.append(link)
-            else:
-                self.due = min(self.due, at)
+        opens = [(self.open_at(k), k) for k in dest.links if k.ready]
+        open_links = [k for at, k in opens if at <= self.now]
+        self.due = min([self.due, *(at for at, _ in opens if at > self.now)])
         if not open_links:
             return None
         behind = min(max(self.wait_for(dest), 0.2), 10.0)
--- a/linkdock/decisions/health.py
+++ b/linkdock/decisions/health.py
@@ -3,7 +3,7 @@
 from math import inf
 
 from ..interface import Effect, Outcome, Probe, Probed, Result
-from .cold import BAD, FAILS, PART_MOST, RETRY_FIRST, STALE, ColdReturn
+from .cold import BAD, FAILS, PART_MOST, STALE, ColdReturn
 from .estimates import SMOOTH, Estimate
 from .model import PROOF, Call, Link, Msg
 
@@ -56,10 +56,8 @@
         """Stop a link; its return will be paced as one from an outage, whatever the cause was."""
         if link.down_at is not None:
             return
-        link.since = self.now if link.ramp is None else link.since
-        link.down_at, link.ramp, link.silent = self.now, None, why.startswith("silent")
-        self.down[link] = None
-        link.route.pause, link.route.trials = RETRY_FIRST * max(e.x for e in self.usual), 0
+        self.stop(link, self.now if link.ramp is None else link.since)
+        link.silent = why.startswith("silent")
         self.next_trial(link, 0.0)
         self.say(link, "suspect", why)
         # Danger: an outage mostly takes all links of a route, and one not tried meanwhile would get all that
@@ -137,8 +135,7 @@
 
     def learn(self, link: Link, m: Msg, call: Call, o: Outcome) -> None:
         """Feed the estimates, the limit and the health with one outcome."""
-        route = link.route
-        dest, e = self.dests[m.dest], self.estimate(route, m.cls)
+        route, dest, e = link.route, self.dests[m.dest], self.estimate(link.route, m.cls)
         limited = o.report is not None and o.report.limit > 0
         if limited:
             route.limit, self.reports = o.report.limit, True
--- a/linkdock/decisions/model.py
+++ b/linkdock/decisions/model.py
@@ -46,7 +46,7 @@
         self.id, self.cls, self.dest, self.rules, self.tenant = m.id, m.cls, m.destination, cls, m.tenant
         self.key, self.deadline = m.key if cls.in_order else 0, now + m.expires_in
         self.start = self.deadline - cls.deadline if m.again or m.orphaned else now
-        self.worth, self.attempts = cls.worth * over, m.attempts
+        self.worth, self.attempts, self.before = cls.worth * over, m.attempts, m.attempts
         self.call: Call | None = None
         self.doubt: float | None = None
         self.doubt_zone, self.done = 0, False
--- a/linkdock/decisions/relay.py
+++ b/linkdock/decisions/relay.py
@@ -57,6 +57,9 @@
 
     def meet(self, entry: i.HostEntry) -> None:
         link = self.links.get(entry.host)
+        if link is not None and (link.entry.destination, link.entry.kind) != (entry.destination, entry.kind):
+            self.gone.append((self.now + FORGET, link))   # it serves others from now on
+            link.ready, link = False, None
         if link is None:
             dest = self.dests.setdefault(entry.destination, Dest())
             self.kinds.setdefault(entry.kind, [0.0, 0.0, 0.0])[0] += not dest.links
@@ -74,14 +77,14 @@
         """Danger: a fleet whose hosts are replaced all day. What is gone, with no call out, goes here too."""
         while self.gone and self.gone[0][0] <= self.now:
             link = self.gone.popleft()[1]
-            if link.ready or self.links.get(link.host) is not link or link.entry.state is HostState.DRAINING:
+            dest, listed = self.dests.get(link.entry.destination), self.links.get(link.host) is link
+            drains = listed and link.entry.state is HostState.DRAINING
+            if link.ready or drains or dest is None or link not in dest.links:
                 continue
             if link.calls:
                 self.gone.append((self.now + FORGET, link))
                 continue
-            dest = self.dests[link.entry.destination]
-            del self.links[link.host]
-            self.down.pop(link, None)
+            self.leave(link)
             dest.links.remove(link)
             if not dest.links:
                 self.kinds[link.entry.kind][0] -= 1
@@ -90,6 +93,11 @@
         if self.gone:
             self.due = min(self.due, self.gone[0][0])
 
+    def leave(self, link: Link) -> None:
+        if self.links.get(link.host) is link:   # and not a later one of that name
+            del self.links[link.host]
+        self.down.pop(link, None)
+
     def awake(self, number: int) -> Dest:
         asleep = self.sleeper is not None and number not in self.dests
         dest = self.dests[number] = self.dests.pop(number, None) or Dest()   # now the last in their order
@@ -109,8 +117,7 @@
             elif at <= self.now:
                 self.sleeper.keep(dest.used_at, number, dest)
                 for link in dest.links:
-                    del self.links[link.host]
-                    self.down.pop(link, None)
+                    self.leave(link)
                 del self.dests[number]
             else:
                 self.due = min(self.due, at)
--- a/tests/test_settings_bounds.py
+++ b/tests/test_settings_bounds.py
@@ -9,6 +9,7 @@
 
 from linkdock import interface as i
 from linkdock import wire
+from linkdock.decisions import Relay
 from linkdock.drill import Host
 from linkdock.errors import exit_line
 from linkdock.service import config
@@ -121,3 +122,91 @@
     with pytest.raises(wire.WireError, match=named) as bad:
         Host().reply(struct.pack("<dI", 1.0, 1) + made + text)
     assert bad.value.code == "LD-WIRE"
+
+
+# --- The decisions at the bounds of what they can be told.
+
+def settings(*classes, **more):
+    """One class unless told otherwise: 1 s of aim, 6 s of time."""
+    given = dict(classes=list(classes) or [i.MessageClass(i.Effect.SAFE, 1.0, 6.0)], kinds=[i.DestinationKind()],
+                 slots=4, max_open=20, max_attempts=6, relays=2, cancel=True, retry_after=True, max_retry_after=3.0,
+                 fall_multiple=1.5, tip_after=2.0, cold_share=0.3, cold_time=10.0)
+    return i.Settings(**{**given, **more})
+
+
+def relay(*classes, hosts=("a",), seed=1, **more):
+    """One that has its list at 1 s."""
+    made = Relay(settings(*classes, **more), seed)
+    made.handle(1.0, [i.Hosts(i.ListKind.FULL, [i.HostEntry(h, 1, weight=200.0) for h in hosts])])
+    return made
+
+
+def sent(acts):
+    return [a.id for a in acts if isinstance(a, i.Send)]
+
+
+def over(acts):
+    return [a.id for a in acts if isinstance(a, i.Refuse | i.Fail)]
+
+
+@pytest.mark.parametrize("room", [1, 2, 3, 19, 20])
+def test_a_store_of_any_size_takes_a_message_on(room):
+    acts = relay(max_open=room, slots=1).handle(1.0, [i.Message(1, 0, 1, 6.0)])
+    assert sent(acts) == [1] and not over(acts)
+
+
+@pytest.mark.parametrize("halves", [False, True])
+@pytest.mark.parametrize("aim", [0.5, 1.0, 3.0])
+def test_a_time_beyond_its_class_s_deadline_never_divides_by_zero_nor_is_worth_less_than_nothing(aim, halves):
+    made = Relay(settings(i.MessageClass(i.Effect.SAFE, aim, 1.0, late_share=0.1), halves=halves), 1)
+    made.handle(1.0, [i.Message(1, 0, 1, 2.0)])
+    m = made.msgs[1]
+    assert all(0.0999 * m.worth <= made.worth(m, 1.0 + at / 10) <= m.worth for at in range(20))
+    assert sent(made.handle(2.5, [i.Hosts(i.ListKind.FULL, [i.HostEntry("a", 1)])])) == [1]
+
+
+def test_a_server_that_is_listed_for_another_destination_serves_the_first_no_more():
+    made = relay()
+    assert sent(made.handle(1.0, [i.Message(1, 0, 1, 6.0)])) == [1]
+    acts = made.handle(2.0, [i.Hosts(i.ListKind.DELTA, [i.HostEntry("a", 2, weight=200.0)]), i.Message(2, 0, 1, 6.0),
+                             i.Message(3, 0, 2, 6.0)])
+    assert sent(acts) == [3]   # 1 had been sent before it moved, and ends as any other
+    made.handle(2.1, [i.Outcome(1, 0, "a", R.OK, 1.1, True), i.Outcome(3, 0, "a", R.OK, 0.1, True)])
+    assert made.busy == 0 and not made.out
+    for at in range(3, 80):
+        made.handle(float(at), [])
+    assert list(made.dests) == [2] and made.links["a"].ready and made.kinds[0][0] == 1
+    assert sent(made.handle(80.0, [i.Message(4, 0, 1, 6.0), i.Message(5, 0, 2, 6.0)])) == [5]
+
+
+def test_a_server_that_is_listed_as_of_another_kind_is_taken_as_such():
+    made = relay(told_weights=False, kinds=[i.DestinationKind(), i.DestinationKind(batch=3)])
+    made.handle(1.0, [i.Message(1, 0, 1, 6.0)])
+    acts = made.handle(2.0, [i.Hosts(i.ListKind.DELTA, [i.HostEntry("a", 1, kind=1)]), i.Message(2, 0, 1, 6.0)])
+    assert sent(acts) == [2]
+    made.handle(2.1, [i.Outcome(1, 0, "a", R.OK, 1.1, True), i.Outcome(2, 0, "a", R.OK, 0.1, True)])
+    assert sent(made.handle(3.0, [i.Message(3, 0, 1, 6.0)])) == [3]
+
+
+def test_a_key_rests_after_doubt_also_for_a_message_that_an_earlier_life_had_tried():
+    made = relay(i.MessageClass(i.Effect.SAFE, 1.0, 16.0, in_order=True), order_rest=1.0)
+    held = [i.Message(mid, 0, 1, 16.0, key=7, orphaned=True, attempts=1) for mid in (1, 2)]
+    assert sent(made.handle(1.0, held)) == [1]
+    assert sent(made.handle(1.5, [i.Outcome(1, 1, "a", R.TIMEOUT, 0.5, True)])) == []
+    assert sent(made.handle(2.4, [])) == [] and sent(made.handle(2.51, [])) == [2]
+
+
+@pytest.mark.parametrize("window", [0.0, 0.5])
+@pytest.mark.parametrize("group", ["all", "zone"])
+def test_a_keyed_message_in_doubt_is_not_repeated_beyond_its_window_however_short(window, group):
+    made = relay(i.MessageClass(i.Effect.KEYED, 1.0, 6.0, window=window, group=group), hosts=("a", "b"))
+    made.handle(1.0, [i.Message(1, 0, 1, 6.0)])
+    acts = made.handle(1.0 + max(window, 0.1), [i.Outcome(1, 0, "a", R.TIMEOUT, max(window, 0.1))])
+    assert over(acts) == [1] and not sent(acts)
+    assert isinstance([a for a in acts if isinstance(a, i.Refuse | i.Fail)][0], i.Refuse if group == "all" else i.Fail)
+
+
+def test_with_one_attempt_a_message_has_one():
+    made = relay(max_attempts=1)
+    made.handle(1.0, [i.Message(1, 0, 1, 6.0)])
+    assert over(made.handle(1.1, [i.Outcome(1, 0, "a", R.CONNECT_FAILED, 0.1)])) == [1]
