Decisions: the first trial of a stopped server waits a tip span at the most

Seen: with one class of 30 s aim and one of 0.5 s, a stopped server's first trial came after 4.8 s and up to 11 s, for the pause before it is two usual calls of the slowest class, and a usual call is an eighth of the aim until one was served. Later pauses are bounded by a tip span, the first was not: all messages of the fast class were given up untried meanwhile, whether or not the server was back.

Checked and ruled out: the share of trials in what a cold server can take is the other term of next_trial (1 / load), which stays. A trial's own length (FLOOR * p95 in next_trial) still follows the class that was tried.

--- a/linkdock/decisions/cold.py
+++ b/linkdock/decisions/cold.py
@@ -5,7 +5,7 @@
 from .model import Link
 from .pace import RETRY_GROW, Pace
 
-RETRY_FIRST = 2.0       # first pause before a trial, in usual calls of the link
+RETRY_FIRST = 2.0       # first pause before a trial, in usual calls, and at most a tip span
 TRIAL_LOAD = 0.7        # part of the fall multiple that the trials of all relays may make up
 COLD_SAFETY = 0.6       # part of the fall multiple used after an outage: others return too, and chance clumps
 ROUGHNESS = 1.5         # a rough weight is up to half too high
@@ -25,7 +25,9 @@
 
     def stop(self, link: Link, since: float) -> None:
         link.down_at, link.ramp, link.since, self.down[link] = self.now, None, since, None
-        link.route.pause, link.route.trials = RETRY_FIRST * max(e.x for e in self.usual), 0
+        # Danger: of a slow class the usual call may be longer than the time of another's messages.
+        usual = max(e.x for e in self.usual)
+        link.route.pause, link.route.trials = min(RETRY_FIRST * usual, self.s.tip_after), 0
 
     def next_trial(self, link: Link, at_least: float) -> None:
         """One trial at a time for a route; those of all relays together stay within what it can take cold."""
--- a/tests/test_settings_bounds.py
+++ b/tests/test_settings_bounds.py
@@ -188,6 +188,16 @@
     assert sent(made.handle(3.0, [i.Message(3, 0, 1, 6.0)])) == [3]
 
 
+def test_the_first_trial_of_a_stopped_server_does_not_wait_for_the_slowest_class():
+    made, now = relay(i.MessageClass(i.Effect.SAFE, 30.0, 60.0), i.MessageClass(i.Effect.SAFE, 0.5, 1.0)), 1.0
+    for mid in range(1, 5):
+        made.handle(now, [i.Message(mid, 1, 1, 1.0)])
+        made.handle(now + 0.1, [i.Outcome(mid, 0, "a", R.RESET, 0.1, True)])
+        now += 1.0
+    link = made.links["a"]
+    assert link.down_at is not None and link.route.trial_at - link.down_at <= 1.5 * made.s.tip_after
+
+
 def test_a_key_rests_after_doubt_also_for_a_message_that_an_earlier_life_had_tried():
     made = relay(i.MessageClass(i.Effect.SAFE, 1.0, 16.0, in_order=True), order_rest=1.0)
     held = [i.Message(mid, 0, 1, 16.0, key=7, orphaned=True, attempts=1) for mid in (1, 2)]
