Decisions: what is asked for little takes one call at a time, whoever has its list

At fault: pace.py rate(): the floor of one call at a time was there for relays with a sleeper only, which is off as deployed; and by the usual call of the settings' first class, so that the order of the classes counted.

Checked and ruled out: fail-back.

--- a/tests/test_settings_bounds.py
+++ b/tests/test_settings_bounds.py
@@ -220,3 +220,18 @@
     made = relay(max_attempts=1)
     made.handle(1.0, [i.Message(1, 0, 1, 6.0)])
     assert over(made.handle(1.1, [i.Outcome(1, 0, "a", R.CONNECT_FAILED, 0.1)])) == [1]
+
+
+@pytest.mark.parametrize("slow_first", [False, True])
+def test_what_is_asked_for_little_and_tells_no_limit_still_takes_one_call_after_the_other(slow_first):
+    slow, fast = i.MessageClass(i.Effect.SAFE, 30.0, 60.0), i.MessageClass(i.Effect.SAFE, 0.5, 1.0)
+    made = relay(*((slow, fast) if slow_first else (fast, slow)), told_weights=False)
+    for burst in (100.0, 400.0):
+        waits = [int(burst) + n for n in range(5)]
+        acts, now = made.handle(burst, [i.Message(mid, int(slow_first), 1, 1.0) for mid in waits]), burst
+        while now < burst + 0.9:
+            assert not over(acts), f"given up untried at {now}, with a sound server and nothing else to do"
+            done = sent(acts)
+            waits, now = [mid for mid in waits if mid not in done], now + 0.05
+            acts = made.handle(now, [i.Outcome(mid, 0, "a", R.OK, 0.05, True) for mid in done])
+        assert not waits
