--- a/linkdock/decisions/cold.py
+++ b/linkdock/decisions/cold.py
@@ -75,8 +75,7 @@
         if route.tokens < 1 or now < route.tokens_at:
             at = max(at, route.tokens_at + max(0.0, 1 - route.tokens) / pace)
         if link.ramp is not None:
-            age = now - link.ramp
-            if age >= self.s.cold_time:
+            if (age := now - link.ramp) >= self.s.cold_time:
                 link.ramp = None
                 self.say(link, "healthy", "cold time over")
             else:
--- a/linkdock/decisions/relay.py
+++ b/linkdock/decisions/relay.py
@@ -50,10 +50,9 @@
             self.meet(entry)
         if news.how in (ListKind.FULL, ListKind.CACHED):
             listed = {entry.host for entry in news.entries}
-            for link in self.links.values():
-                if link.host not in listed:
-                    link.ready = False
-                    self.gone.append((self.now + FORGET, link))
+            for link in (k for k in self.links.values() if k.host not in listed):
+                link.ready = False
+                self.gone.append((self.now + FORGET, link))
 
     def meet(self, entry: i.HostEntry) -> None:
         link = self.links.get(entry.host)
--- a/tests/test_settings_bounds.py
+++ b/tests/test_settings_bounds.py
@@ -235,3 +235,52 @@
             waits, now = [mid for mid in waits if mid not in done], now + 0.05
             acts = made.handle(now, [i.Outcome(mid, 0, "a", R.OK, 0.05, True) for mid in done])
         assert not waits
+
+
+def test_a_full_store_gives_up_a_newcomer_and_not_early_what_a_restart_found_untried():
+    dear, usual = i.MessageClass(i.Effect.SAFE, 1.0, 6.0, worth=9.0), i.MessageClass(i.Effect.SAFE, 1.0, 6.0)
+    made = Relay(settings(dear, usual, max_open=4), 1)   # no list has come yet
+    assert not over(made.handle(1.0, [i.Message(mid, 1, 1, 3.0, orphaned=True) for mid in (1, 2, 3)]))
+    assert over(made.handle(1.1, [i.Message(4, 1, 1, 6.0)])) == [4]
+    assert over(made.handle(1.1, [i.Message(5, 0, 1, 6.0)])) == [3]   # this one is worth breaking a word for
+    assert over(made.handle(2.3, [i.Message(6, 1, 1, 6.0)])) == [2]   # seven tenths of its time are over
+
+
+@pytest.mark.parametrize("effect", list(i.Effect))
+@pytest.mark.parametrize("deadline, aim", [(1.0, 0.5), (1.0, 1.0), (6.0, 0.8), (20.0, 2.0), (60.0, 30.0)])
+def test_what_a_restart_found_untried_is_tried_once_a_list_comes_or_kept_until_a_call_no_longer_fits(effect, deadline,
+                                                                                                     aim):
+    cls = i.MessageClass(effect, aim, deadline, window=0.0)
+    held = [i.Message(mid, 0, 1, deadline / 2, orphaned=True, attempts=mid % 2) for mid in (1, 2)]
+    made = Relay(settings(cls, slots=8), 1)
+    acts, now = made.handle(100.0, held), 100.0
+    while now < 100.0 + 0.8 * (deadline / 2 - aim / 8):
+        assert not sent(acts) and not over(acts), now
+        now += deadline / 100
+        acts = made.handle(now, [])
+    assert sent(made.handle(now, [i.Hosts(i.ListKind.FULL, [i.HostEntry("a", 1, weight=200.0)])])) == [1, 2]
+    silent = Relay(settings(cls, slots=8), 1)
+    silent.handle(100.0, held)
+    assert not over(silent.handle(100.0 + deadline / 2 - max(aim / 8, 0.01) - 1e-6, []))
+    assert sorted(over(silent.handle(100.0 + deadline / 2 - max(aim / 8, 0.01) + 1e-6, []))) == [1, 2]
+
+
+@pytest.mark.parametrize("why", ["told to wait", "stopped", "cold"])
+def test_what_is_held_goes_out_as_soon_as_its_destination_may_take_a_call(why):
+    made = relay(order_rest=0.0)
+    if why == "told to wait":
+        made.handle(1.0, [i.Message(1, 0, 1, 6.0)])
+        made.handle(1.1, [i.Outcome(1, 0, "a", R.FULL, 0.1, False, 2.0), i.Withdrawn(1)])
+    else:
+        out = [i.HostEntry("a", 1, weight=200.0, out_since=0.5)]
+        made.handle(1.1, [i.Hosts(i.ListKind.DELTA, out)])
+        if why == "cold":
+            made.handle(1.1, [i.Message(1, 0, 1, 6.0)])
+            made.handle(1.2, [i.Outcome(1, 0, "a", R.OK, 0.1, True)])
+            assert made.links["a"].ramp is not None
+    acts, now = made.handle(1.3, [i.Message(9, 0, 1, 3.0, orphaned=True)]), 1.3
+    while not sent(acts) and now < 4.0:
+        assert not over(acts)
+        now += 0.05
+        acts = made.handle(now, [])
+    assert sent(acts) == [9]
