--- a/linkdock/decisions/cold.py
+++ b/linkdock/decisions/cold.py
@@ -5,7 +5,7 @@
 from .model import Link
 from .pace import RETRY_GROW, Pace
 
-RETRY_FIRST = 2.0       # first pause before a trial, in usual calls of the link
+RETRY_FIRST = 2.0       # first pause before a trial, in usual calls, and at most a tip span
 TRIAL_LOAD = 0.7        # part of the fall multiple that the trials of all relays may make up
 COLD_SAFETY = 0.6       # part of the fall multiple used after an outage: others return too, and chance clumps
 ROUGHNESS = 1.5         # a rough weight is up to half too high
@@ -20,10 +20,14 @@
 class ColdReturn(Pace):  # what a link that was stopped, and a route at its limit, may be given
     def suspect(self, link: Link, since: float) -> None:
         """A link that wakes under suspicion: its first call is a trial, its answer begins a cold return."""
-        link.down_at, link.ramp, link.since, link.bad, link.fails = self.now, None, since, BAD, FAILS
-        self.down[link] = None
-        link.route.pause, link.route.trials = RETRY_FIRST * max(e.x for e in self.usual), 0
-        link.route.trial_at = -inf
+        self.stop(link, since)
+        link.bad, link.fails, link.route.trial_at = BAD, FAILS, -inf
+
+    def stop(self, link: Link, since: float) -> None:
+        link.down_at, link.ramp, link.since, self.down[link] = self.now, None, since, None
+        # Danger: of a slow class the usual call may be longer than the time of another's messages.
+        usual = max(e.x for e in self.usual)
+        link.route.pause, link.route.trials = min(RETRY_FIRST * usual, self.s.tip_after), 0
 
     def next_trial(self, link: Link, at_least: float) -> None:
         """One trial at a time for a route; those of all relays together stay within what it can take cold."""
@@ -58,8 +62,7 @@
 
     def open_at(self, link: Link) -> float:
         """When the link may take a call: now, later, or (inf) not before some outcome."""
-        route, now = link.route, self.now
-        at = route.wait_until
+        route, now, at = link.route, self.now, link.route.wait_until
         if link.down_at is not None:
             return max(at, route.trial_at)
         if route.woken and any(k.calls for k in self.dests[link.entry.destination].links if k.route is route):
@@ -72,8 +75,7 @@
         if route.tokens < 1 or now < route.tokens_at:
             at = max(at, route.tokens_at + max(0.0, 1 - route.tokens) / pace)
         if link.ramp is not None:
-            age = now - link.ramp
-            if age >= self.s.cold_time:
+            if (age := now - link.ramp) >= self.s.cold_time:
                 link.ramp = None
                 self.say(link, "healthy", "cold time over")
             else:
--- a/linkdock/decisions/dispatch.py
+++ b/linkdock/decisions/dispatch.py
@@ -9,6 +9,7 @@
 from .pace import FLOOR
 
 ROOM = 0.95             # part of the message store from which the least worth is refused
+EARLY = 0.3             # part of its time left from which an end is early, and of its worth that it costs
 SHARE = 0.5             # of the slots for one destination while others wait (DESIGN)
 SHARE_ALONE = 0.75      # and while none waits: a newcomer must still find a slot
 SHARED = 0.25           # of a call, that each further message in it may weigh on a cold partner
@@ -18,7 +19,7 @@
 class Dispatch(Health):  # the messages that wait, and the calls made of them
     def worth(self, m: Msg, at: float) -> float:
         """What the message still earns if it is delivered then."""
-        c, age = m.rules, at - m.start
+        c, age = m.rules, min(at - m.start, m.rules.deadline)   # a client may tell a time beyond it
         if at >= m.deadline or c.effect is Effect.KEYED and m.doubt is not None and at > m.doubt + c.window:
             return 0.0
         if age <= c.aim:
@@ -48,21 +49,24 @@
         if self.now >= self.sweep_at:
             self.sweep_at = inf
             for m in [m for dest in self.hot.values() for m in dest.waiting.values()]:
-                at = self.give_up_at(m)
-                if at <= self.now:
+                if (at := self.give_up_at(m)) <= self.now:
                     self.give_up(m)
                 else:
                     self.sweep_at = min(self.sweep_at, at)
-        excess = len(self.msgs) - int(ROOM * self.s.max_open)
+        excess = len(self.msgs) - max(1, int(ROOM * self.s.max_open))
         if excess > 0:
             # A full store turns away the next whatever its worth; choose instead.
-            ranked = []
-            for dest in self.hot.values():
-                at = self.now + self.wait_for(dest)
-                ranked += [(self.worth(m, at), -m.id, m) for m in dest.waiting.values() if self.refusable(m)]
+            at = {number: self.now + self.wait_for(dest) for number, dest in self.hot.items()}
+            ranked = [(self.trust(m) or self.worth(m, at[m.dest]), -m.id, m) for dest in self.hot.values()
+                      for m in dest.waiting.values() if self.refusable(m)]
             for _, _, m in heapq.nsmallest(excess, ranked, key=lambda t: t[:2]):
                 self.give_up(m)
 
+    def trust(self, m: Msg) -> float:
+        """What a restart found untried goes early only for what is worth all of it and the price."""
+        early = m.orphaned and m.deadline - self.now > EARLY * m.rules.deadline
+        return m.worth * (1 + EARLY) if early and m.attempts == m.before else 0.0
+
     def refusable(self, m: Msg) -> bool:
         """A refusal says that trying again is harmless."""
         everywhere = m.rules.effect is Effect.KEYED and m.rules.group == "all"
@@ -97,7 +101,7 @@
         """Whether the message's key lets it go now."""
         if not m.key:
             return True
-        rest = self.rest.get(m.key, -inf) if m.attempts == 0 else -inf
+        rest = self.rest.get(m.key, -inf) if m.attempts == m.before else -inf
         self.due = min(self.due, rest if rest > self.now else inf)
         return self.keys[m.key][0] is m and rest <= self.now
 
@@ -108,13 +112,9 @@
 
     def candidate(self, dest: Dest) -> tuple[float, Msg, Link] | None:
         """The message of one destination that loses most by waiting behind its peers, and its link."""
-        open_links = []
-        for link in (k for k in dest.links if k.ready):
-            at = self.open_at(link)
-            if at <= self.now:
-                open_links.append(link)
-            else:
-                self.due = min(self.due, at)
+        opens = [(self.open_at(k), k) for k in dest.links if k.ready]
+        open_links = [k for at, k in opens if at <= self.now]
+        self.due = min([self.due, *(at for at, _ in opens if at > self.now)])
         if not open_links:
             return None
         behind = min(max(self.wait_for(dest), 0.2), 10.0)
