Decisions: a told weight of next to nothing says nothing

NaN, infinity, negative ones, 0 and 1e308 do no harm (tests here, passing before). Below 1e-9 a told rate now counts as none.

--- a/linkdock/decisions/pace.py
+++ b/linkdock/decisions/pace.py
@@ -46,7 +46,7 @@
         they are few, and that to one call at a time; partners mostly take what comes to them.
         """
         told = link.route.limit or (link.entry.weight if self.s.told_weights else 0.0)
-        if told > 0:
+        if told > 1e-9:   # below, it says nothing, and a part of it may be 0
             return told
         dest, (partners, came, _) = self.dests[link.entry.destination], self.kinds[link.entry.kind]
         partners = max(self.sleeper.partners(link.entry.kind) if self.sleeper else partners, 1.0)
--- a/tests/test_settings_bounds.py
+++ b/tests/test_settings_bounds.py
@@ -284,3 +284,17 @@
         now += 0.05
         acts = made.handle(now, [])
     assert sent(acts) == [9]
+
+
+@pytest.mark.parametrize("weight", [math.nan, INF, -5.0, 0.0, 5e-324, 1e-12, 1e308])
+def test_whatever_number_a_list_tells_for_a_weight_the_day_goes_on(weight):
+    made, now = Relay(settings(told_weights=True), 1), 1.0
+    acts = made.handle(now, [i.Hosts(i.ListKind.FULL, [i.HostEntry("a", 1, weight=weight)]), i.Message(1, 0, 1, 6.0)])
+    for attempt, result in enumerate([R.FULL, R.RESET, R.CONNECT_FAILED, R.RESET, R.OK]):
+        while not sent(acts) and now < 7.0:
+            now += 0.05
+            acts = made.handle(now, [])
+        now += 0.1
+        acts = made.handle(now, [i.Outcome(1, attempt, "a", result, 0.1, result is R.OK)])
+        assert all(math.isfinite(a.at) for a in acts if isinstance(a, i.SetTimer))
+    assert not made.msgs
