--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -314,6 +314,7 @@
         self._ended = True
         if self._next is not None:
             self._next.cancel()
+            self._next = None   # Danger: what a cancelled call reports would ask for another one
         self.frontend.close()
         if self._operations is not None:
             self._operations.close()
--- a/tests/test_races_restart.py
+++ b/tests/test_races_restart.py
@@ -74,6 +74,17 @@
     assert not owed(program)
 
 
+def test_a_lower_limit_on_held_messages_gives_up_nothing_that_was_taken_on(start):
+    server = Backend("s1")
+    program = ended(start, [server], grades=UNHURRIED, limits__max_open=4, extra__calls_out=1)
+    names = [f"aa{n:02}" for n in range(12)]
+    left_behind(program, *(message(name, until=time.time() + 30) for name in names))
+    program.start()
+    assert served(server, 12) == names
+    settled(program.client())
+    assert program.discovery.notices.empty()
+
+
 def test_a_class_that_is_gone_ends_its_messages_with_a_line_and_nothing_else(start):
     server = Backend("s1")
     program = ended(start, [server], admin="127.0.0.1:0")
