Take nothing that came behind a reply for the answer to the next post of notices

Seen: the platform's 204 comes twice, the second while nothing is owed.

At fault: `Notices._send` read the answer to a post from a connection on which something may have come before.

Now a read waits behind each reply, as on the connections to backend servers (`streams.silent`): a connection on which anything has come, or its end, is closed before the next post, which goes over a new one at once.

Ruled out: a look at the socket alone (MSG_PEEK) does not see it, for Tornado may have read it into its buffer.

Test: tests/test_races_notices.py; on the version before ['a1', 'a2'] had ended where a2 had no reply yet.

--- a/linkdock/protocol/notices.py
+++ b/linkdock/protocol/notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import logging
 import socket
@@ -13,6 +14,7 @@
 
 from ..errors import log_line
 from ..state.wheel import Wheel
+from ..streams import silent
 from . import http
 
 if TYPE_CHECKING:
@@ -37,6 +39,7 @@
         self._dial, self._wheel, self._pause, self._confirmed = dial, wheel, pause, confirmed
         self._owed: dict[str, bytes] = {}
         self._stream: IOStream | None = None
+        self._behind: asyncio.Future | None = None   # the read that waits for what comes behind the last reply
         self._news = asyncio.Event()
         self.observer: Observer | None = None   # of the records, where they are on
         self._most = MOST   # halved by each 400, so that one bad notice cannot hold up the rest for long
@@ -60,9 +63,9 @@
                 if batch and (size > MOST_BODY or len(batch) == self._most):
                     break
                 batch.append(request)
-            fresh, began = self._stream is None or self._stream.closed(), self._wheel.now
+            fresh, began = not self._kept(), self._wheel.now
             try:
-                status = await self._send(b"".join(self._owed[r] for r in batch))
+                status = await self._send(b"".join(self._owed[r] for r in batch), fresh)
             except (StreamClosedError, OSError, http.BadAnswer) as bad:
                 status = 0
                 log.info("notices: not confirmed: %s", log_line(bad))
@@ -91,23 +94,38 @@
         del self._owed[request]
         self._confirmed(request)
 
-    async def _send(self, body: bytes) -> int:
-        fresh = self._stream is None or self._stream.closed()
+    def _kept(self) -> bool:
+        """Whether the connection can carry a post.
+
+        Danger: what came on it since the last reply would pass for the next one.
+        """
+        if self._stream is None or self._stream.closed():
+            return False
+        if self._behind is None or not silent(self._stream, self._behind):
+            self._stream.close()
+            return False
+        return True
+
+    async def _send(self, body: bytes, fresh: bool) -> int:
         if fresh:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self._stream = IOStream(sock, max_buffer_size=1 << 17)
         stream, parser, status = self._stream, http.AnswerParser(), 0
+        read, self._behind = None if fresh else self._behind, None
         timer = self._wheel.after(ANSWER, stream.close)
         try:
             if fresh:
                 await stream.connect(self._dial)
             await stream.write(http.request("POST", "/reports", self._dial, None, body))
             while not parser.whole:
-                for part in parser.feed(await stream.read_bytes(65536, partial=True)):
+                data, read = await (read or stream.read_bytes(65536, partial=True)), None
+                for part in parser.feed(data):
                     if isinstance(part, http.Head):
                         status = part.status
                     if isinstance(part, http.Whole) and not part.keep:
                         stream.close()
+            with contextlib.suppress(StreamClosedError):
+                self._behind = stream.read_bytes(65536, partial=True)
             return status
         finally:
             timer.cancel()
--- a/tests/test_races_notices.py
+++ b/tests/test_races_notices.py
@@ -169,6 +169,25 @@
     play(story())
 
 
+def test_a_second_reply_confirms_nothing_that_is_owed_later():
+    async def story():
+        one = Story()
+        async with one.open():
+            one.owe("a1")
+            post = await one.heard()
+            post.answer()
+            await one.confirmed("a1")
+            post.answer()   # while nothing is owed
+            await one.turns()
+            one.owe("a2")
+            post = await one.heard()
+            await one.turns()
+            assert one.ended == ["a1"] and len(one.notices) == 1
+            post.answer()
+            await one.confirmed("a1", "a2")
+    play(story())
+
+
 def test_a_kept_connection_that_the_platform_closed_or_that_fell_silent_costs_no_notice_its_time():
     async def story():
         one = Story()
