Send nothing to a server that was listed for another destination while its connection came up

Seen by reading: the last look before the first byte asked whether the server is gone, drains, is out by hand or told a wait, not whose it is. At fault: ServerTable.closed, asked by Sender.may_go. test_races_windows fails without it (may_go says yes); four lines of older tests name the destination now, which is one check more. Ruled out: the decisions, which let go of a moved server since.

--- a/linkdock/sender/desk.py
+++ b/linkdock/sender/desk.py
@@ -304,7 +304,7 @@
         now, request = self._b.clock(), self._b.requests.get(item.request)
         if request is None or request.until <= now or self._held_back(request, now):
             why = "its request is over, or waits for the next life"
-        elif (closed := self._b.table.closed(server, now)) is not None:
+        elif (closed := self._b.table.closed(server, now, request.destination)) is not None:
             why = closed
             log.info("dispatch of %s not sent: %s %s", item.request, server, closed)
         elif self._window_over(request, now):
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -197,12 +197,12 @@
     table.update([facade.Server(n, ("127.0.0.1", 1), 7) for n in "ab"], 1)
     table.told_wait(table.row("a"), 5.0)
     table.told_wait(table.row("a"), 4.0)   # a shorter one does not cut it
-    assert table.closed("a", 4.9) and bool(table.closed("b", 4.9)) is not apart
-    assert table.closed("a", 5.0) is None
+    assert table.closed("a", 4.9, 7) and bool(table.closed("b", 4.9, 7)) is not apart
+    assert table.closed("a", 5.0, 7) is None
     fresh = Roster()
     fresh.put(facade.Server("b", ("127.0.0.1", 1), 7))
     table.replace(fresh, 2)
-    assert table.closed("a", 9.0) == "is gone" and table.closed("b", 9.0) is None
+    assert table.closed("a", 9.0, 7) == "is gone" and table.closed("b", 9.0, 7) is None
 
 
 # --- Configuration.
--- a/tests/test_races_windows.py
+++ b/tests/test_races_windows.py
@@ -78,3 +78,14 @@
         desk.now += 0.2
         assert desk.sender.may_go("s1", Item("aa01", 2, 5.0)) is goes
     asyncio.run(story())
+
+
+def test_a_server_that_moves_to_another_destination_while_its_connection_comes_up_gets_nothing_of_the_first(tmp_path):
+    async def story():
+        desk = OneSender(tmp_path, Effect.SAFE)
+        assert await desk.first(ERROR)
+        desk.sender.changed([Server("s1", ("127.0.0.1", 1), 2)], 2)
+        assert not desk.sender.may_go("s1", Item("aa01", 1, 5.0))
+        desk.sender.changed([Server("s1", ("127.0.0.1", 1), 1)], 3)
+        assert desk.sender.may_go("s1", Item("aa01", 2, 5.0))
+    asyncio.run(story())
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -74,7 +74,7 @@
     table = ServerTable([False], lambda: now[0])
     table.update([server("s1", 7)], 1)
     table.update([server("s1", 7, health="gone")], 2)
-    assert table.knows(7) and table.closed("s1", 0.0) == "is gone"
+    assert table.knows(7) and table.closed("s1", 0.0, 7) == "is gone"
     now[0] = KNOWN_FOR + 1
     table.forget()
     assert not table.knows(7)
