Keep the next message of a key until the call before it is over at its server as well

Ruled out: overlaps in the sender's own view (none in the traces), messages of an earlier life (the key began after the restart). At fault: Call._answer ended such a call for the decisions at the first line.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -34,6 +34,7 @@
 MARGIN = 0.05          # seconds before the told end of a call at which it is given up
 NO_ROOM_PAUSE = 0.05   # seconds until a connection is tried again that there was no room for
 REST_OF_ANSWER = 0.5   # seconds that an answer may take from its first byte to its last
+CLOSED = 0.1           # and until its server has surely met the close of one that took longer
 STATES = {"done": DELIVERED, "failed": ERROR, "busy": TURNED_AWAY, "void": NOT_SENT, "used_up": NOT_SENT}
 
 
@@ -72,18 +73,7 @@
 
     def load(self, headers: dict[str, str]) -> tuple[float, float] | None:
         """The load report of an answer, if it carries one that can be read."""
-        told: dict[str, float] = {}
-        for part in headers.get("endpoint-load-metrics", "").split(","):
-            name, _, value = part.partition("=")
-            name, number = name.strip(), http.number(value)
-            if name in self.fields:
-                # Danger: half a report would pass for one of a limit that is used up, or of none.
-                if number is None or name in told or name == "x0" and number > 1:
-                    return None
-                told[name] = number
-        if not told or any(name not in told for name in ("x0", "x1") if name in self.fields):
-            return None
-        return told.get("x0", 0.0), told.get("x1", 0.0)
+        return http.load_report(headers, self.fields)
 
 
 class Call:
@@ -93,17 +83,16 @@
         self._b, self.server, self._row = backend, order.server, backend.table.row(order.server)
         self._requests = {r.id: r for r in requests}
         self.items = {item.request: item for item in order.items}   # without an outcome yet
-        self._given_up: set[str] = set()
-        self._began = backend.clock()
+        self._began, self._given_up = backend.clock(), set()   # the latter: items given up, for a late answer
         self._writing: Future | None = None   # of its bytes, from the first on
         self._fresh = False    # whether it goes over a connection that nothing went over before
         self._single = True    # whether one answer counts for one item
+        self._ordered = any(r.ordered for r in requests)
         self._spoilt = False   # whether the answer began and did not end in time
         self._connection: Connection | None = None
         self._asked: Asked | None = None   # the wish for one, where the keeper is on
         self._short = False    # whether it waits for a connection that this process has no room for
-        self._written_at = 0.0
-        self._parser = http.AnswerParser(MOST_BODY)
+        self._written_at, self._parser = 0.0, http.AnswerParser(MOST_BODY)
         # Danger: an answer to several after the time of one of them. The platform takes a shared call's time from one
         # message, and a later answer delivers none of them, whatever it says of the others.
         self._due = min((r.until for r in requests), default=inf)
@@ -120,6 +109,11 @@
         return write is not None and write.done() and (
             not self._connection.stream.writing() if write.cancelled() else write.exception() is None)
 
+    @property
+    def _told(self) -> bool:
+        """Whether a first line with 200 has come to a call with one message: it is delivered, whatever follows."""
+        return self._single and self._parser.status == 200
+
     # --- Ends.
 
     def _end(self, request: str, how: str, **more) -> None:
@@ -145,7 +139,7 @@
     def _give_up(self, request: str, how: str) -> None:
         if request not in self.items:
             return
-        self._end(request, how)
+        self._end(request, DELIVERED if self._told else how)
         self._given_up.add(request)
         if self.items:
             return
@@ -178,17 +172,25 @@
             if self._spoilt:   # else by the other side, or by giving up
                 log.warning("backend server %s: an answer without end", self.server)
                 how = ERROR
+                await self._closed()
             elif self._writing is not None and self.items and not self._parser.read and self._b.kept is not None:
                 self._b.kept.used(self._connection, False)   # given up by nobody here, and nothing came on it
         except http.BadAnswer as bad:
             log.warning("backend server %s: %s", self.server, log_line(bad))
             how = ERROR
+            await self._closed()
         finally:
-            self._end_all(how or (RESET if self._sent else NOT_CONNECTED))
+            self._end_all(DELIVERED if self._told else how or (RESET if self._sent else NOT_CONNECTED))
             if self._connection is not None:
                 pool = self._b.pool
                 (pool.give_back if reusable else pool.discard)(self._connection)
 
+    async def _closed(self) -> None:
+        """Danger: the next of its key would come to its server before the close of this one does."""
+        self._connection.stream.close()
+        if self._ordered:
+            await self._b.wheel.pause(CLOSED)
+
     async def _exchange(self) -> bool:
         if self._row is None:   # gone since the decisions chose it
             self._end_all(NOT_SENT)
@@ -317,7 +319,7 @@
                     else:
                         self._judge(head, body)
                         return part.keep
-                if self._single and parser.status == 200 and self.items:
+                if self._told and self.items and not self._ordered:   # else others of its key wait for all of it
                     if head is not None:
                         self._judge(head, body)
                     self._end_all(DELIVERED)
@@ -329,8 +331,6 @@
         finally:
             if timer is not None:
                 timer.cancel()
-            if self._single and parser.status == 200:
-                self._end_all(DELIVERED)
 
     def _without_end(self) -> None:
         self._spoilt = True
--- a/linkdock/protocol/http.py
+++ b/linkdock/protocol/http.py
@@ -59,6 +59,22 @@
     return float(text) if NUMBER.match(text) else None
 
 
+def load_report(headers: dict[str, str], fields: list[str]) -> tuple[float, float] | None:
+    """The load report that an answer carries, where one can be read with the fields that it should have."""
+    told: dict[str, float] = {}
+    for part in headers.get("endpoint-load-metrics", "").split(","):
+        name, _, value = part.partition("=")
+        name, figure = name.strip(), number(value)
+        if name in fields:
+            # Danger: half a report would pass for one of a limit that is used up, or of none.
+            if figure is None or name in told or name == "x0" and figure > 1:
+                return None
+            told[name] = figure
+    if not told or any(name not in told for name in ("x0", "x1") if name in fields):
+        return None
+    return told.get("x0", 0.0), told.get("x1", 0.0)
+
+
 class AnswerParser:
     """Reads one answer: feed it bytes, get `Head`, `Body` and `Whole` in turn.
 
--- a/linkdock/sender/books.py
+++ b/linkdock/sender/books.py
@@ -54,10 +54,12 @@
         return tenants.get(name, len(tenants))
 
     def order_key(self, request: Request) -> int:
-        """By which messages of its class go in order; 0 where they need not. Raises Refused."""
+        """By which messages of its class go in order; 0 where they need not, and the request knows. Raises Refused."""
         if not self.rules.settings.classes[request.cls].in_order:
             return 0
         try:
-            return int(request.key, 16)
+            key = int(request.key, 16)
         except ValueError:
             raise Refused("the key is not hexadecimal") from None
+        request.ordered = key != 0
+        return key
--- a/linkdock/state/requests.py
+++ b/linkdock/state/requests.py
@@ -54,6 +54,7 @@
     until: float
     body: bytes
     alone: bool = False   # whether it must not share a call any more
+    ordered: bool = False   # whether others of its key wait until its calls are over
     answer: Callable[[Answer], bool] | None = None
     tenant: str = ""      # whose share it counts against, where the settings name tenants
     idempotency_key: str = ""   # by which a server drops repeats, where its client named one
