Count no try for a message that did not fit into a shared call

Measured (answers, loopback): of twelve bodies of 40 KB for a server that takes ten in a call seven ended unsent, of 20 KB two: what is beyond the 64 KiB of one call, or has to go alone, was ended as 'not sent', a try each. Each round at least one of them goes out, so that none of them waits for ever. What is not sent for other reasons still counts, or it would be made again each tick. At fault: Call._exchange and Sender._dispatch. test_races_tries: the two new cases fail on the version before.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -46,11 +46,11 @@
 
     def ended(self, server: str, item: Item, how: str, elapsed: float, wait: float = 0.0,
               load: tuple[float, float] | None = None, over: bool = False, owed: bool = False,
-              due: float = inf, read: str = "") -> None:
+              due: float = inf, read: str = "", tried: bool = True) -> None:
         """An item has its outcome; `over` where the request is over, `owed` where its end is still owed.
 
         `due` is when the first of those that shared its call ran out of time, on the loop's clock; `read` says for
-        the record what came back.
+        the record what came back, `tried` whether it counts as one of its attempts.
         """
 
     def repeatable(self, request: Request) -> bool:
@@ -205,7 +205,7 @@
             # of large bodies would be too long as a whole: what does not fit goes in a call of its own.
             room = len(self._requests[request].body) * 4 // 3 + ROOM_OF_ONE
             if size and size + room > MOST_BODY:
-                self._end(request, NOT_SENT)
+                self._end(request, NOT_SENT, tried=False)
             elif not b.desk.may_go(self.server, item):
                 # With what is left of a wait, which another process of this sender may have been told.
                 self._end(request, NOT_SENT, wait=b.table.waits(self.server, b.clock()))
--- a/linkdock/sender/desk.py
+++ b/linkdock/sender/desk.py
@@ -271,7 +271,7 @@
             request = self._b.requests.get(item.request)
             apart = request is not None and items and (request.alone or requests[0].alone)
             if request is None or apart or self._held_back(request, now):
-                self.ended(order.server, item, "not sent", 0.0)
+                self.ended(order.server, item, "not sent", 0.0, tried=not apart)
                 continue
             left = request.until - now
             items.append(item._replace(limit=min(item.limit or left, left)))
@@ -331,18 +331,18 @@
 
     def ended(self, server: str, item: Item, how: str, elapsed: float, wait: float = 0.0,
               load: tuple[float, float] | None = None, over: bool = False, owed: bool = False,
-              due: float = inf, read: str = "") -> None:
+              due: float = inf, read: str = "", tried: bool = True) -> None:
         """A dispatch has its outcome: on record what matters for the next life, then for the decisions."""
         self._calls.pop((item.request, item.attempt), None)
         if self._b.observer is not None:
             self._b.observer.outcome(server, item, how, elapsed, wait, over, read)
-        request, tried = self._b.requests.get(item.request), True
+        request = self._b.requests.get(item.request)
         if how in NEVER_RAN:
             self._b.journal.never(item.request, item.attempt)
             if request is not None:
                 # Danger: servers that refuse connections would use up all attempts in no time. By the protocol a
                 # call counts once it has come to its server.
-                tried = request.sent.pop(item.attempt, None) is not None or how != NOT_CONNECTED
+                tried = request.sent.pop(item.attempt, None) is not None or tried and how != NOT_CONNECTED
         self._b.facade.report(End(item.request, item.attempt, server, how, elapsed, wait, load, over, tried))
         if owed:
             self._ends.finish(item.request, "undeliverable", {"id": item.request, "status": "undeliverable"})
--- a/tests/test_races_tries.py
+++ b/tests/test_races_tries.py
@@ -1,5 +1,6 @@
 """A try that never came to a server is none of a message's attempts, in this life and the next."""
 
+import json
 import time
 
 import pytest
@@ -36,3 +37,21 @@
     settled(program.client())
     program.kill()
     assert list(owed(program)) == ["aa01"]   # and is still tried
+
+
+@pytest.mark.parametrize("size", [20000, 40000])
+def test_bodies_that_do_not_fit_in_one_shared_call_all_go_out_in_their_turn(start, size):
+    server = Backend("s1", kind="batching")
+    program = start([server], extra__calls_out=1)
+    client, names = program.client(), {f"bb{n:02}" for n in range(12)}
+    assert client.enqueue("aa00", "order", 16000) == "+OK"   # it holds the only slot
+    line, _ = server.take()
+    for name in sorted(names):
+        assert client.enqueue(name, "order", 16000, body=b"x" * size) == "+OK"
+    line.answer(200)
+    while names:
+        first, headers, body = line.call()
+        ids = [m["id"] for m in json.loads(body)] if "batch" in first else [headers["x-trace-id"]]
+        names -= set(ids)
+        line.answer(200, json.dumps([{"id": name, "state": "done"} for name in ids]).encode())
+    assert program.discovery.notices.empty()
