Let the next of a key rest after a spoilt answer, as after any other call that may be running

A spoilt answer was an error for the decisions, after which no key rests. At fault: Call.run. Where others go in order behind it, it is a reset now; elsewhere an error as before. test_races_order: the new case fails on the version before.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -171,25 +171,25 @@
         except (StreamClosedError, OSError):
             if self._spoilt:   # else by the other side, or by giving up
                 log.warning("backend server %s: an answer without end", self.server)
-                how = ERROR
-                await self._closed()
+                how = await self._closed()
             elif self._writing is not None and self.items and not self._parser.read and self._b.kept is not None:
                 self._b.kept.used(self._connection, False)   # given up by nobody here, and nothing came on it
         except http.BadAnswer as bad:
             log.warning("backend server %s: %s", self.server, log_line(bad))
-            how = ERROR
-            await self._closed()
+            how = await self._closed()
         finally:
             self._end_all(DELIVERED if self._told else how or (RESET if self._sent else NOT_CONNECTED))
             if self._connection is not None:
                 pool = self._b.pool
                 (pool.give_back if reusable else pool.discard)(self._connection)
 
-    async def _closed(self) -> None:
-        """Danger: the next of its key would come to its server before the close of this one does."""
+    async def _closed(self) -> str:
+        """Close over a spoilt answer. Danger: the next of its key would come to its server before the close does."""
         self._connection.stream.close()
-        if self._ordered:
-            await self._b.wheel.pause(CLOSED)
+        if not self._ordered:
+            return ERROR
+        await self._b.wheel.pause(CLOSED)
+        return RESET   # it may be running still
 
     async def _exchange(self) -> bool:
         if self._row is None:   # gone since the decisions chose it
--- a/tests/test_races_order.py
+++ b/tests/test_races_order.py
@@ -43,3 +43,17 @@
     line.answer(200)
     assert line.call()[1]["x-trace-id"] == "aa02"
     line.answer(200)
+
+
+def test_the_next_of_a_key_rests_after_a_spoilt_answer_as_after_any_other_doubt(start):
+    server = Backend("s1")
+    program = start([server], grades=ORDERED, rules__settle_after_doubt=1.0)
+    client = program.client()
+    assert hand_in(client, "aa01", "order") == "+OK" and hand_in(client, "aa02", "order") == "+OK"
+    line, _ = server.take()
+    line.sock.sendall(b"HTTP/1.1 500 Told\r\nno header\r\n\r\n")
+    assert program.discovery.notice() == {"id": "aa01", "status": "undeliverable"}
+    assert server.quiet(0.6)
+    line, (_, headers, _) = server.take()
+    assert headers["x-trace-id"] == "aa02"
+    line.answer(200)
