--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,13 +12,24 @@
     items.sort(key=lambda item: not item.name.startswith(LONGEST))
 
 
+def closed(make):
+    """Makes as many as a test asks for, and closes them at its end."""
+    made = []
+
+    def begin(*args, **more):
+        made.append(make(*args, **more))
+        return made[-1]
+    yield begin
+    for one in made:
+        one.close()
+
+
 @pytest.fixture
 def start(tmp_path):
-    programs = []
+    yield from closed(lambda backends, **more: Program(tmp_path, backends, **more))
 
-    def begin(backends, **more):
-        programs.append(Program(tmp_path, backends, **more))
-        return programs[-1]
-    yield begin
-    for program in programs:
-        program.close()
+
+@pytest.fixture
+def pair(tmp_path):
+    from test_upgrades import Pair
+    yield from closed(lambda backends, **more: Pair(tmp_path, backends, **more))
--- a/tests/test_races_handover.py
+++ b/tests/test_races_handover.py
@@ -14,7 +14,7 @@
 from test_operations import call, eventually, figures
 from test_races_restart import message
 from test_succession import kept, shift
-from test_upgrades import Pair, Serving
+from test_upgrades import Serving
 
 from linkdock.protocol.admin import Refusal
 from linkdock.service.operations import Operations
@@ -23,19 +23,6 @@
 from linkdock.state.journal import MOST_MOVED, Journal, owed
 from linkdock.state.rotation import Rotation
 
-
-@pytest.fixture
-def pair(tmp_path):
-    pairs = []
-
-    def begin(backends, **more):
-        pairs.append(Pair(tmp_path, backends, **more))
-        return pairs[-1]
-    yield begin
-    for one in pairs:
-        one.close()
-
-
 # --- What operators tell both.
 
 
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -53,18 +53,6 @@
         self.sock.close()
 
 
-@pytest.fixture
-def pair(tmp_path):
-    pairs = []
-
-    def begin(backends, **more):
-        pairs.append(Pair(tmp_path, backends, **more))
-        return pairs[-1]
-    yield begin
-    for one in pairs:
-        one.close()
-
-
 class Serving:
     """A backend server that answers every call alike, and counts what each message came to."""
 
