Whole lists name what is awake in the pass, so that restored messages go out

Callers saw, with idle destinations on: what a restart took up before the first list was not dispatched until the list changed, or ended when its time was up. Cause: the facade filtered a whole list when it was reported, by the destinations that were awake then; the message in the same pass wakes its destination only in the pass, and the list, empty by then, takes its endpoints out of rotation. Why this works: the decisions ask the sleeper for the rows when they come to the list in the pass, behind all facts that were reported before it.

--- a/linkdock/decisions/relay.py
+++ b/linkdock/decisions/relay.py
@@ -43,14 +43,26 @@
             pause = self.ask_pause * self.s.ask_within * self.random.uniform(0.5, 1.5)
             self.ask_at = self.now + pause if failed else inf
             self.ask_pause = min(ASK_MOST, self.ask_pause * 2) if failed else ASK_FIRST
-        for entry in news.entries:
+        whole = news.how in (ListKind.FULL, ListKind.CACHED)
+        entries = news.entries
+        if self.sleeper is not None:
+            entries = self.rows_awake() if whole else self.changes_awake(entries)
+        for entry in entries:
             self.meet(entry)
-        if news.how in (ListKind.FULL, ListKind.CACHED):
-            listed = {entry.host for entry in news.entries}
+        if whole:
+            listed = {entry.host for entry in entries}
             for link in (k for k in self.links.values() if k.host not in listed):
                 link.ready = False
                 self.gone.append((self.now + FORGET, link))
 
+    def rows_awake(self) -> list[i.HostEntry]:
+        """The listed rows of destinations that are awake by now, some through a message of this pass."""
+        return [entry for number in self.dests for entry in self.sleeper.rows(number)]
+
+    def changes_awake(self, entries: list[i.HostEntry]) -> list[i.HostEntry]:
+        """Changes of destinations that are awake; of the others the list tells once they wake."""
+        return [entry for entry in entries if entry.destination in self.dests]
+
     def meet(self, entry: i.HostEntry) -> None:
         link = self.links.get(entry.host)
         if link is not None and (link.entry.destination, link.entry.kind) != (entry.destination, entry.kind):
--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -2,6 +2,12 @@
 
 The only module that sees the events and actions of `decisions`; everyone else uses the plain values below.
 A request is named by its id on the wire, a backend server by its name in the server table.
+
+Facts of one pass take effect one after another, in the order of their reports, and any order may come: a restored
+message before the first list, a list before a message, changes between both, what another process holds before or
+after its end. No fact may therefore be judged when it is reported by what an earlier pass has left; what depends on
+the decisions' state (which destinations are awake, which servers are known) is looked up in the pass itself.
+`tests/test_fact_order.py` forces the orders, with a sleeper and without.
 """
 
 from __future__ import annotations
@@ -212,16 +218,12 @@
     def _take_in(self, fact: Fact) -> None:
         match fact:
             case Table(how, servers, version):
-                if self._sleeper is not None:
-                    # The list is the sleeper's; the decisions hear of those that are awake, and ask for the rest.
-                    awake = self._relay.dests
-                    servers = [s for s in servers if s.destination in awake] if how == "changes" else []
+                if self._sleeper is not None and how != "changes":
+                    servers = ()  # the decisions ask the sleeper for the rows of those that are awake by then
                 entries = [
                     i.HostEntry(s.name, s.destination, _STATES[s.health], s.kind, s.zone, s.share, s.born, s.out_since)
                     for s in servers
                 ]
-                if self._sleeper is not None and how != "changes":
-                    entries = [row for number in awake for row in self._sleeper.rows(number)]
                 self._facts.append(i.Hosts(_LISTS[how], entries, version))
             case Take(request, cls, destination, left, key, again, held, used, tenant, tries, taken_at):
                 self._settle(request)  # of what was held elsewhere, and is this process's own from now on
