An endpoint that moves to an idle destination leaves its former one

What callers would see, with idle destinations on: an endpoint that discovery moves to a destination without work stays in rotation for its former one; calls chosen for it are refused at the last moment and the messages wait. Cause: changes of idle destinations are passed over, also where the endpoint is known as one of an awake destination. The test failed before with the sleeper ("aa02" was dispatched to the endpoint that had moved) and passed without it; now both pass. The link is taken out of rotation where the change is read, so that nothing is chosen for it from that pass on.

--- a/linkdock/decisions/relay.py
+++ b/linkdock/decisions/relay.py
@@ -52,22 +52,33 @@
         if whole:
             listed = {entry.host for entry in entries}
             for link in (k for k in self.links.values() if k.host not in listed):
-                link.ready = False
-                self.gone.append((self.now + FORGET, link))
+                self.unlist(link)
 
     def rows_awake(self) -> list[i.HostEntry]:
         """The listed rows of destinations that are awake by now, some through a message of this pass."""
         return [entry for number in self.dests for entry in self.sleeper.rows(number)]
 
     def changes_awake(self, entries: list[i.HostEntry]) -> list[i.HostEntry]:
-        """Changes of destinations that are awake; of the others the list tells once they wake."""
+        """Changes of destinations that are awake; of the others the list tells once they wake.
+
+        The list does not say that a host of an awake destination serves an idle one now.
+        """
+        for entry in entries:
+            idle, link = entry.destination not in self.dests, self.links.get(entry.host)
+            if idle and link is not None:
+                self.unlist(link)
         return [entry for entry in entries if entry.destination in self.dests]
 
+    def unlist(self, link: Link) -> None:
+        """It gets no further call, and is forgotten in time."""
+        link.ready = False
+        self.gone.append((self.now + FORGET, link))
+
     def meet(self, entry: i.HostEntry) -> None:
         link = self.links.get(entry.host)
         if link is not None and (link.entry.destination, link.entry.kind) != (entry.destination, entry.kind):
-            self.gone.append((self.now + FORGET, link))  # it serves others from now on
-            link.ready, link = False, None
+            self.unlist(link)  # it serves others from now on
+            link = None
         if link is None:
             dest = self.dests.setdefault(entry.destination, Dest())
             self.kinds.setdefault(entry.kind, [0.0, 0.0, 0.0])[0] += not dest.links
--- a/tests/test_fact_order.py
+++ b/tests/test_fact_order.py
@@ -179,3 +179,16 @@
     sender.facade.report(End("aa01", 0, "m1", DELIVERED, 0.1))
     sender.facade.report(Settled("aa01"))
     assert sender.calls(20) == [("aa02", "m1")]
+
+
+def test_a_server_that_moves_to_an_idle_destination_is_not_called_for_its_former_one(sender):
+    sender.whole(server("m1"), server("m2"))
+    sender.take("aa01")
+    sender.passes()
+    sender.facade.report(End("aa01", 0, "m1", DELIVERED, 0.1))
+    sender.facade.report(Settled("aa01"))
+    sender.changes(server("m1", destination=2), server("m2", destination=2))
+    sender.take("aa02")
+    assert sender.calls(WHILE_IT_WAITS) == []
+    sender.take("aa03", destination=2)
+    assert len(sender.calls(20)) == 1
