An endpoint of an idle destination that was out comes back cold as well

What callers would see, with idle destinations on: an endpoint that was put back by hand, or that another process of the sender saw fail, was called at full pace by the first messages for it, if its destination had no work at that moment; a cold endpoint falls under that. Cause: `out_since` stands in the change alone, and changes of idle destinations are passed over. The test failed before with the sleeper (nothing was stopped) and passed without it; now both pass, for the change wakes its destination.

--- a/linkdock/decisions/relay.py
+++ b/linkdock/decisions/relay.py
@@ -61,12 +61,14 @@
     def changes_awake(self, entries: list[i.HostEntry]) -> list[i.HostEntry]:
         """Changes of destinations that are awake; of the others the list tells once they wake.
 
-        The list does not say that a host of an awake destination serves an idle one now.
+        The list does not tell that a host was out, nor that one of an awake destination has moved to another.
         """
         for entry in entries:
             idle, link = entry.destination not in self.dests, self.links.get(entry.host)
             if idle and link is not None:
                 self.unlist(link)
+            if idle and entry.out_since is not None:
+                self.awake(entry.destination)
         return [entry for entry in entries if entry.destination in self.dests]
 
     def unlist(self, link: Link) -> None:
--- a/tests/test_fact_order.py
+++ b/tests/test_fact_order.py
@@ -192,3 +192,11 @@
     assert sender.calls(WHILE_IT_WAITS) == []
     sender.take("aa03", destination=2)
     assert len(sender.calls(20)) == 1
+
+
+def test_a_server_back_from_being_out_by_hand_comes_back_cold_also_where_nothing_waits_for_it(sender):
+    sender.whole(server("m1"))
+    sender.passes()
+    sender.facade.report(Table("changes", [server("m1")._replace(out_since=sender.now - 20.0)], 1))
+    sender.passes()
+    assert sender.facade.stopped() == ["m1"]  # its first call is a trial
