What an older process has learned waits for the list, as a fact of the pass

What callers would see: in an upgrade the limits, paces and cold returns that the old process tells were dropped where the new one had no list yet, and for endpoints to which its first pass sent a restored message; the endpoint was then met at full pace. With idle destinations on, nothing told counted. Cause: Facade.told applied it to the links of the moment, or behind the next pass, list or not. Why this works: it is an event of its own (Inherited), applied in its place of the pass before any dispatch; hosts that no list has named yet wait for the whole one. The code that reached from the facade into the decisions' tables stands in the decisions now.

--- a/linkdock/decisions/model.py
+++ b/linkdock/decisions/model.py
@@ -80,6 +80,8 @@
         self.down: dict[Link, None] = {}  # stopped ones
         self.gone: deque[tuple[float, Link]] = deque()
         self.links: dict[i.Host, Link] = {}
+        self.inherited: list[i.Inherited] = []  # of hosts that no list has named yet
+        self.listed = False  # whether a whole list has come
         self.keys: dict[int, list[Msg | Elsewhere]] = {}  # in the order in which they were taken
         self.unsettled: dict[int, Msg | Elsewhere] = {}  # whose ends are to be confirmed
         self.rest: dict[int, float] = {}
--- a/linkdock/decisions/relay.py
+++ b/linkdock/decisions/relay.py
@@ -54,6 +54,31 @@
             for link in (k for k in self.links.values() if k.host not in listed):
                 self.unlist(link)
 
+        self.listed = self.listed or news.how is ListKind.FULL
+        inherited, self.inherited = self.inherited, []
+        for one in inherited:
+            self.on_inherited(one)
+
+    def on_inherited(self, one: i.Inherited) -> None:
+        """What this process has seen by itself holds."""
+        number = None if self.sleeper is None else self.sleeper.destination(one.host)
+        if number is not None:
+            self.awake(number)
+        link = self.links.get(one.host)
+        if link is None and not self.listed:
+            self.inherited.append(one)
+        if link is None or link.calls or max(link.last_ok, link.failed_at) > -inf:
+            return
+        route = link.route
+        if one.limit and not route.limit:
+            route.limit, route.part = one.limit, min(1.0, one.part)
+        if one.ramp is not None:
+            # Its return goes on where it was: neither a trial anew, nor what a warm one can take.
+            link.down_at, link.fails, link.bad = None, 0, 0.0
+            self.down.pop(link, None)
+            link.ramp, link.since = one.ramp, one.since if one.since is not None else one.ramp
+            link.tokens, link.tokens_at = 0.0, self.now
+
     def rows_awake(self) -> list[i.HostEntry]:
         """The listed rows of destinations that are awake by now, some through a message of this pass."""
         return [entry for number in self.dests for entry in self.sleeper.rows(number)]
--- a/linkdock/dormancy/sleeper.py
+++ b/linkdock/dormancy/sleeper.py
@@ -50,6 +50,11 @@
             for s in self._shown(self._roster().of(destination))
         ]
 
+    def destination(self, host: str) -> int | None:
+        """The destination that a listed host serves; None for one that is not listed."""
+        row = self._roster().row(host)
+        return None if row is None else row.destination
+
     def partners(self, kind: int) -> int:
         """How many destinations of a kind are listed."""
         return self._roster().partners(kind)
--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -204,7 +204,7 @@
         self._numbers: dict[int, _Known] = {}
         self._last = 0
         self._bell: tuple[float, int] | None = None
-        self._untold: list[Learned] = []  # of an older process, until the list is in
+        self._begun = False  # whether a pass has run
         self.wake: Callable[[], None] | None = None  # called whenever there is something for a tick
 
     # --- In.
@@ -297,7 +297,7 @@
 
     def tick(self, now: float) -> None:
         """One decision pass over all that was reported."""
-        facts, self._facts = self._facts, []
+        facts, self._facts, self._begun = self._facts, [], True
         if self._bell is not None and self._bell[0] <= now:
             facts.append(i.TimerDue(self._bell[1]))
             self._bell = None
@@ -320,8 +320,6 @@
                     self._orders.append(Retire(host))
                 case i.Log(text, host, state):
                     self._orders.append(Remark(text, host or "", state))
-        if self._untold:
-            self._take_over()
 
     def _dispatch(self, known: _Known, server: str, limit: float, open_calls: dict[str, Dispatch]) -> None:
         """Requests of one tick for one server travel together, as many as its kind takes."""
@@ -365,29 +363,15 @@
         return list(islice(known, most))
 
     def told(self, learned: Iterable[Learned]) -> None:
-        """What an older process has learned. What this one has seen by itself holds; a report overrides a limit.
-
-        Danger: it comes before the first tick, while the list still waits for one: nothing would be known by name.
-        """
-        self._untold += learned
-        if not self._facts:
-            self._take_over()
-
-    def _take_over(self) -> None:
-        learned, self._untold = self._untold, []
-        for one in learned:
-            link = self._relay.links.get(one.server)
-            if link is None or link.calls or max(link.last_ok, link.failed_at) > -inf:
-                continue
-            route = link.route
-            if one.limit and not route.limit:
-                route.limit, route.part = one.limit, min(1.0, one.part)
-            if one.ramp is not None:
-                # Its return goes on where it was: neither a trial anew, nor what a warm one can take.
-                link.down_at, link.fails, link.bad = None, 0, 0.0
-                self._relay.down.pop(link, None)
-                link.ramp, link.since = one.ramp, one.since if one.since is not None else one.ramp
-                link.tokens, link.tokens_at = 0.0, self._relay.now
+        """What an older process has learned. What this one has seen by itself holds; a report overrides a limit."""
+        events = [i.Inherited(one.server, one.limit, one.part, one.ramp, one.since) for one in learned]
+        if self._begun and not self._facts:
+            for event in events:
+                self._relay.on_inherited(event)
+            return
+        self._facts += events  # in its place behind the list, or before a list that is yet to come
+        if self._facts and self.wake is not None:
+            self.wake()
 
     def stopped(self) -> list[str]:
         """The servers that the decisions avoid by choice."""
--- a/linkdock/interface.py
+++ b/linkdock/interface.py
@@ -206,6 +206,17 @@
     id: int
 
 
+@dataclass(slots=True)
+class Inherited:
+    """What an older process of this sender has learned of a host; it waits for the whole list that has the host."""
+
+    host: Host
+    limit: float  # calls a second, 0: none known
+    part: float  # of the limit that one sender may use
+    ramp: float | None  # since when the host comes back, in seconds of the relay's clock; None: it does not
+    since: float | None  # and since when it had been out
+
+
 @dataclass(slots=True)
 class Outcome:
     """The end of one attempt; `finished` is set where the message itself is over."""
@@ -271,6 +282,9 @@
     def rows(self, destination: int) -> list[HostEntry]:
         """What is listed for it."""
 
+    def destination(self, host: Host) -> int | None:
+        """The destination that a listed host serves; None for one that is not listed."""
+
     def partners(self, kind: int) -> int:
         """How many destinations of a kind are listed."""
 
@@ -281,7 +295,9 @@
         """It wakes with the links that are listed: give them what was kept, as far as it still counts."""
 
 
-Event = Hosts | Message | KeyHeld | Settled | Outcome | Started | Withdrawn | Probed | TimerDue | PeerMessage
+Event = (
+    Hosts | Message | KeyHeld | Settled | Inherited | Outcome | Started | Withdrawn | Probed | TimerDue | PeerMessage
+)
 
 
 @dataclass(slots=True)
--- a/tests/test_fact_order.py
+++ b/tests/test_fact_order.py
@@ -13,6 +13,7 @@
     End,
     Facade,
     KeyHeld,
+    Learned,
     Server,
     Settled,
     Table,
@@ -200,3 +201,18 @@
     sender.facade.report(Table("changes", [server("m1")._replace(out_since=sender.now - 20.0)], 1))
     sender.passes()
     assert sender.facade.stopped() == ["m1"]  # its first call is a trial
+
+
+@pytest.mark.parametrize("before", ["first pass", "restored messages", "list"])
+def test_what_an_older_process_learned_counts_whenever_the_list_comes(sender, before):
+    learned = Learned("m1", 25.0, 0.5, 90.0, 80.0)
+    if before == "restored messages":
+        sender.take("aa01")
+    elif before == "list":
+        sender.whole(server("m1"))
+        sender.passes()
+    sender.facade.told([learned])
+    sender.passes()
+    sender.whole(server("m1"))
+    sender.passes()
+    assert [one.server for one in sender.facade.learned(10)] == ["m1"]
