Keep the port of a peer that refuses, and of each peer until its programs have ended

Cause: refuse() ends the listening by shutdown; of a socket bound to port 0 the system takes the port away with that, so that any test may be given it, while the program of the first one goes on to call it.

--- a/linkdock/lab/outage.py
+++ b/linkdock/lab/outage.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import statistics
 import time
 from collections.abc import Callable
@@ -21,7 +20,7 @@
 from ..undeliverable.store import Filter, Store
 from .idle import Positive
 from .members import Member, Rules
-from .rig import Agent, Client, Members, Sender, settings, strike
+from .rig import Agent, Client, Members, RefusingAddress, Sender, settings, strike
 
 SHUT = 0  # the member that is shut
 MEMBERS, END_S = 4, 40.0
@@ -44,13 +43,6 @@
         """Nothing to check: every plan can be run."""
 
 
-def shut_port() -> str:
-    """An address at which nobody listens."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % sock.getsockname()[1]  # noqa: UP031
-
-
 async def day(plan: Plan, seed: int) -> dict:
     """One outage and what came after it."""
     luck, agent = Random(seed), Agent()
@@ -63,7 +55,7 @@
     )
     await agent.start()
     await members.start()
-    nowhere = shut_port()
+    refusing = RefusingAddress()
 
     def row(n: int, dial: str) -> dict:
         return {
@@ -77,7 +69,7 @@
             "born_ms": 0,
         }
 
-    agent.list(lambda: (row(n, nowhere if n == SHUT and shut else members.dial) for n in range(MEMBERS)))
+    agent.list(lambda: (row(n, refusing.dial if n == SHUT and shut else members.dial) for n in range(MEMBERS)))
     shut = True
     sender = Sender(
         agent, {"undeliverable": {"on": True}}, {"memory_mb": 96, "sockets": 512, "disk_mb": 3}, settings(32, 400)
@@ -134,7 +126,7 @@
         with Store(path, write=False) as store:
             rows = {m.id: (m, said) for m, said in store.find(Filter(state=None))}
     finally:
-        strike(sender, agent, members)
+        strike(sender, agent, members, refusing)
     taken = {name: cls for name, (cls, said) in heard.items() if said.startswith("+OK")}
     orders = [name for name, cls in taken.items() if cls == "order"]
     doubt = {name for name, known in rows.items() if in_doubt(*known)}
--- a/linkdock/lab/rig.py
+++ b/linkdock/lab/rig.py
@@ -10,6 +10,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -81,6 +82,19 @@
         self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
 
 
+class RefusingAddress:
+    """An address of 127.0.0.1 at which nobody listens; until `close` it keeps the port, so that nobody else can."""
+
+    def __init__(self) -> None:
+        self._sock = socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self.dial = f"127.0.0.1:{self._sock.getsockname()[1]}"
+
+    def close(self) -> None:
+        """Let go of the port."""
+        self._sock.close()
+
+
 class Agent:
     """Discovery's agent: a watch that streams the list in chunks, and notices."""
 
@@ -307,7 +321,7 @@
         self._folder.cleanup()
 
 
-def strike(sender: Sender, *peers: Agent | Members) -> None:
+def strike(sender: Sender, *peers: Agent | Members | RefusingAddress) -> None:
     """The end of a measurement, whatever happened in it: the one place where all of it is given back."""
     if sender.process.returncode is None:
         sender.process.kill()
--- a/linkdock/lab/versions/folder.py
+++ b/linkdock/lab/versions/folder.py
@@ -14,7 +14,6 @@
 from pathlib import Path
 
 from .. import rig
-from ..outage import shut_port
 from ..processes.fleet import ROOT, Child
 from .peers import (
     Order,
@@ -90,13 +89,14 @@
         self.findings: list[str] = []
         self._writer, self._reader = writer, reader
         self._agent, self._members = RecordingAgent(), RecordingMembers(MEMBERS)
+        self._refusing = rig.RefusingAddress()
 
     async def run(self) -> list[str]:
         """Play it and return the findings. Raises VersionsError or RuntimeError where it cannot go on."""
         await self._agent.start()
         await self._members.start()
-        nowhere = shut_port()
-        self._agent.list(lambda: (list_row(n, nowhere if n == SHUT else self._members.dial) for n in range(MEMBERS)))
+        refusing = self._refusing.dial
+        self._agent.list(lambda: (list_row(n, refusing if n == SHUT else self._members.dial) for n in range(MEMBERS)))
         self._sender = Child("n0", self._agent, site_settings(), self._deployed(), self._writer)
         self._use_limits()
         try:
@@ -108,6 +108,7 @@
             self._sender.close()
             self._members.close()
             self._agent.close()
+            self._refusing.close()
         return self.findings
 
     def _deployed(self) -> dict[str, dict]:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 from known_red import KnownRed
-from peers import Program
+from peers import Program, let_go
 
 LONGEST = (
     "test_a_kill_at_any_step_of",
@@ -22,6 +22,13 @@
     items.sort(key=lambda item: not item.name.startswith(LONGEST))
 
 
+@pytest.fixture(autouse=True)
+def ports():
+    """The ports of a test's peers are kept beyond its programs: this fixture comes first and ends last."""
+    yield
+    let_go()
+
+
 def closed(make):
     """Makes as many as a test asks for, and closes them at its end."""
     made = []
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -1,6 +1,7 @@
 """Scripted peers on loopback sockets for the stories: backend servers, discovery, clients, the program."""
 
 import contextlib
+import errno
 import json
 import os
 import pathlib
@@ -54,6 +55,38 @@
     return told
 
 
+_listening = []  # sockets of the present test, until its programs have ended
+
+
+def listen(backlog=128):
+    """A listening socket of 127.0.0.1 whose port stays taken until `let_go`, also once it refuses.
+
+    The system takes a port that it has chosen itself away with the listening, one that was bound by number only with
+    the socket.
+    """
+    while True:
+        with socket.socket() as found:
+            found.bind(("127.0.0.1", 0))
+            address = found.getsockname()
+        try:
+            sock = socket.create_server(address, backlog=backlog)
+        except OSError as bad:
+            if bad.errno != errno.EADDRINUSE:
+                raise
+            continue  # another process was quicker
+        _listening.append(sock)
+        return sock
+
+
+def let_go():
+    """Give the ports back: the programs that called them have ended."""
+    while _listening:
+        sock = _listening.pop()
+        with contextlib.suppress(OSError):  # it listens no more
+            sock.shutdown(socket.SHUT_RDWR)  # whoever waits for a connection hears of it
+        sock.close()
+
+
 class Line:
     """One accepted connection of a scripted HTTP peer."""
 
@@ -89,7 +122,7 @@
     """A backend server whose every answer is the test's."""
 
     def __init__(self, name, destination=1, kind="single", backlog=16):
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.sock = listen(backlog)
         self.sock.settimeout(PATIENCE)
         self.name, self.destination, self.kind = name, destination, kind
         self.dial = "127.0.0.1:%d" % self.sock.getsockname()[1]  # noqa: UP031
@@ -131,7 +164,7 @@
     """Discovery's agent: a watch that says what the test says, and notices on a queue."""
 
     def __init__(self):
-        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock = listen()
         self.dial = "127.0.0.1:%d" % self.sock.getsockname()[1]  # noqa: UP031
         self.notices, self.watches = queue.Queue(), queue.Queue()
         self.reply = 204  # to notices; None stays silent
@@ -341,7 +374,7 @@
 
 
 def refuse(peer):
-    """From now on nobody listens at its address. Danger: a port let go of is taken by a test that runs beside this."""
+    """From now on nobody listens at its address, and nobody else can: `listen` keeps the port."""
     peer.sock.shutdown(socket.SHUT_RDWR)
 
 
--- a/tests/test_fleet_process.py
+++ b/tests/test_fleet_process.py
@@ -1,30 +1,26 @@
 """The sender with its node among the fleet's processes: delivery waits for none of it, and the end gives all back."""
 
 import json
-import socket
 import sys
 import time
 
 from peers import PATIENCE, ROOT, Backend
 
-KEY = "a key of sixteen characters"
-
+from linkdock.lab.processes.play import free_ports
 
-def free_port():
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        return one.getsockname()[1]
+KEY = "a key of sixteen characters"
 
 
 def test_a_node_without_a_quorum_takes_nothing_from_delivery_and_leaves_with_the_sender(start):
     """Its founders are three, and the other two never come: nothing can be agreed on, everything is delivered."""
     server = Backend("s1")
+    own, nobodys = free_ports(2)  # the system gives neither to another program
     told = {
         "on": True,
         "key": KEY,
-        "listen": f"127.0.0.1:{free_port()}",
+        "listen": f"127.0.0.1:{own}",
         "founders": ["n0", "n1", "n2"],
-        "seeds": [f"127.0.0.1:{free_port()}"],
+        "seeds": [f"127.0.0.1:{nobodys}"],
         "zone": "a",
     }
     program = start([server], deploy={"cluster": told})
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -13,7 +13,7 @@
 import time
 
 import pytest
-from peers import PATIENCE, ROOT, Backend, Client, Discovery, Program, refuse, settings
+from peers import PATIENCE, ROOT, Backend, Client, Discovery, Program, listen, refuse, settings
 from test_operations import call, eventually, figures, ops
 
 from linkdock.protocol.frontend import Frontend
@@ -28,7 +28,7 @@
 
     def __init__(self, folder, backends, **more):
         self.folder, self.backends, self.more = folder, backends, more
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.sock = listen(64)
         self.port, self.started = self.sock.getsockname()[1], []
         self.discovery = Discovery()
 
--- a/tests/test_wording.py
+++ b/tests/test_wording.py
@@ -17,7 +17,7 @@
     "failover, assignment": (0, 5, 3, 9, 1),
     "laboratory, packages": (0, 5, 23, 12, 4),
     "laboratory": (0, 32, 34, 2, 12),
-    "tests": (5, 13, 111, 7, 0),
+    "tests": (5, 13, 111, 6, 0),
 }
 
 
