Report a failed test with the logs of its programs

The two entries of KNOWN-RED.txt on upgrades say that something never came, and their record holds neither which step it was nor what the programs said. A failed test now prints the log of each program that it started.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import pytest
 from known_red import KnownRed
-from peers import Program, let_go
+from peers import Program, let_go, programs
 
 LONGEST = (
     "test_a_kill_at_any_step_of",
@@ -17,6 +17,15 @@
     config.pluginmanager.register(KnownRed(config), "known_red")
 
 
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item):
+    """A failure is reported with the logs of the test's programs."""
+    report = (yield).get_result()
+    if report.failed:
+        for number, program in enumerate(programs, 1):
+            report.sections.append((f"log of program {number}", "".join(program.log)))
+
+
 def pytest_collection_modifyitems(items):
     """The longest go first: one that began last would leave all workers but its own without work."""
     items.sort(key=lambda item: not item.name.startswith(LONGEST))
@@ -27,6 +36,7 @@
     """The ports of a test's peers are kept beyond its programs: this fixture comes first and ends last."""
     yield
     let_go()
+    programs.clear()
 
 
 def closed(make):
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -248,6 +248,9 @@
         return self.ask("ENQUEUE", "0" * 16, name, f"c={cls},d={d},dest={dest}", body)
 
 
+programs = []  # that the present test has started, for the report of a failure
+
+
 class Program:
     """The real program as its own process, with a folder that lasts."""
 
@@ -286,6 +289,7 @@
             config["admin_addr"] = admin
         self.config = folder / "config.json"
         self.config.write_text(json.dumps(config))
+        programs.append(self)
         self.start()
 
     def start(self):
