Hear what an older process learned past one that never tells

Callers would see: after an upgrade the new process meets returning endpoints and known limits as if it knew nothing, where the newest older process hangs before it has told, or is dead with its lock held by one that hangs. Cause: only the file of the newest older process was looked for. The files are tried from the newest down, and one that tells later is read as well.

--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -50,7 +50,7 @@
         self._ordered = any(cls.in_order for cls in config.settings.classes)
         self._state = notes.STARTING
         self._handed, self._batches = False, 0
-        self._learned_from: int | None = None
+        self._learned_from = 0  # the newest process whose file was read
         self.share: Callable[[bool], None] = lambda alive: None  # to be called when another comes or goes
         self._sender: Sender
         self._facade: Facade
@@ -267,24 +267,31 @@
             log.warning("what was learned is not told: %s", bad)
 
     def _learn(self) -> None:
-        """What the newest older process has learned, as soon as it has told. Without it all is learned anew."""
-        older = max((number for number in self._others if number < self._succession.number), default=0)
-        if self._learned_from is not None or not older:
-            return
+        """What older processes have learned, the newest that has told first. Without it all is learned anew.
+
+        One that is held to live may never tell: it hangs, or has ended and a hanging one holds its lock.
+        """
+        for older in sorted((number for number in self._others if number < self._succession.number), reverse=True):
+            if older <= self._learned_from or self._learn_from(older):
+                return
+
+    def _learn_from(self, older: int) -> bool:
+        """Whether this process has told what it learned; what cannot be read is passed over."""
         try:
             # Danger: a row of another version, which would only be found out in the middle of a tick.
             rows = [
                 Learned(str(name), float(limit), float(part), *(None if at is None else float(at) for at in times))
                 for name, limit, part, *times in json.loads(self._succession.learned(older).read_bytes())
             ]
-            self._facade.told(rows)
         except FileNotFoundError:
-            return
+            return False
         except (OSError, ValueError, TypeError, OverflowError, RecursionError) as bad:
             log.warning("what process %d has learned cannot be read: %s", older, bad)
         else:
+            self._facade.told(rows)
             log.info("%d servers are known from process %d", len(rows), older)
         self._learned_from = older
+        return True
 
     def _together(self, calls: int, opened: int) -> None:
         """The others have so many calls out and messages open: the rest is ours."""
--- a/tests/test_upgrades.py
+++ b/tests/test_upgrades.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import os
 import queue
@@ -262,6 +263,20 @@
     both.start().logged("what process 2 has learned cannot be read")
 
 
+# Guards against a process that learns nothing because the newest older one, which hangs or is dead, never tells.
+def test_what_an_older_process_learned_is_heard_past_one_that_never_tells(pair):
+    server = Backend("s1")
+    both = pair([server])
+    old = both.start()
+    assert both.client().enqueue("ea02") == "+OK"
+    line, _ = server.take()
+    line.answer(200, Endpoint_Load_Metrics="x0=0.9,x1=25")
+    eventually(lambda: ops(figures(old), "preview", "fulfilled") == 1)
+    with open(both.folder / "lock.2", "w") as lock:  # as a hanging process holds that of a dead one it was taking up
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        both.start().logged("1 servers are known from process 1")
+
+
 def test_what_the_old_one_saw_fail_gets_one_trial_from_the_new_one(pair):
     server = Backend("s1")
     both = pair([server])
