Hold a process's lock before it has its number, so that no sibling takes it

Seen: the listed test of a third process failed now and then beside load, for learned.2 never came; to callers nothing was wrong, but the second process had number 3. Cause: lock.N was created and locked in two steps; a sibling that looks in between takes it for a dead process's and removes it, and the claim goes on to the next number. The lock is now taken on an unnamed file that a link then names, so that a number that can be seen is held. test_a_kill_at_any_step_of_handing_over counts 10 steps in the place of 8: the removal of the unnamed name is a further step at which it kills, before and after.

--- a/linkdock/state/succession.py
+++ b/linkdock/state/succession.py
@@ -19,11 +19,14 @@
 import fcntl
 import os
 import re
+import time
 from collections.abc import Iterator
+from contextlib import suppress
 from pathlib import Path
 
 LOCK = re.compile(r"lock\.([0-9]{1,9})\Z")
 ALONE = "journal"  # of a process that has no number
+CLAIM_AGE = 60.0  # seconds after which an unnamed lock is no longer being named
 
 
 def numbered(folder: Path) -> list[int]:
@@ -67,21 +70,37 @@
     def __init__(self, folder: Path) -> None:
         """Raises OSError where the folder takes no files."""
         self._folder = folder
+        self._clear_claims()
         self.number = max(numbered(folder), default=0) + 1
         while (lock := self._claim(self.number)) is None:
             self.number += 1
         self._lock = lock
 
     def _claim(self, number: int) -> int | None:
+        """The lock of a number, held; None where somebody has the number.
+
+        It is held before it has its name: a sibling takes a lock that it finds free for a dead process's.
+        """
+        unnamed = self._folder / f"claim.{os.urandom(8).hex()}"
+        lock = os.open(unnamed, os.O_RDWR | os.O_CREAT | os.O_EXCL, 0o600)
         try:
-            lock = os.open(self._folder / f"lock.{number}", os.O_RDWR | os.O_CREAT | os.O_EXCL, 0o600)
-        except FileExistsError:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            os.link(unnamed, self._folder / f"lock.{number}")
+        except OSError as bad:
+            os.close(lock)
+            if not isinstance(bad, FileExistsError):
+                raise
             return None
-        # Danger: a sibling that looks between these lines holds it to be a dead one's, and removes it.
-        if self._held(number, lock):
-            return lock
-        os.close(lock)
-        return None
+        finally:
+            unnamed.unlink(missing_ok=True)
+        return lock
+
+    def _clear_claims(self) -> None:
+        """Remove what processes left that were killed in the middle of a claim."""
+        for unnamed in self._folder.glob("claim.*"):
+            with suppress(FileNotFoundError):
+                if time.time() - unnamed.stat().st_mtime > CLAIM_AGE:
+                    unnamed.unlink()
 
     def _held(self, number: int, lock: int) -> bool:
         """Whether the lock is ours now, and still the one that has this number."""
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -1,9 +1,11 @@
 """Processes of one sender side by side: who is alive, whose journal is taken up, the board between them."""
 
+import fcntl
 import os
 import shutil
 import subprocess
 import sys
+import time
 from math import inf
 from pathlib import Path
 from types import SimpleNamespace
@@ -16,7 +18,7 @@
 from linkdock.state import board as notes
 from linkdock.state.board import PLACES, Board, Fact, Reader
 from linkdock.state.journal import Journal, Kept, owed
-from linkdock.state.succession import Succession, numbered
+from linkdock.state.succession import CLAIM_AGE, Succession, numbered
 from linkdock.state.table import ServerTable
 
 CONFIG = {"disk_mb": 3.0, "settings": SimpleNamespace(slots=4, max_open=9, classes=[])}
@@ -42,6 +44,30 @@
     assert 1 not in numbered(tmp_path)
 
 
+# Guards against a number that is skipped: a sibling that looked just then took the new lock for a dead process's.
+def test_a_sibling_that_looks_while_a_number_is_claimed_does_not_take_it(tmp_path, monkeypatch):
+    one, flock, looks = Succession(tmp_path), fcntl.flock, []
+
+    def look_first(lock, how):
+        monkeypatch.setattr(fcntl, "flock", flock)
+        _, left = one.look()
+        looks.append([dead.number for dead in left])
+        for dead in left:
+            dead.done()
+        return flock(lock, how)
+
+    monkeypatch.setattr(fcntl, "flock", look_first)
+    assert Succession(tmp_path).number == 2 and looks == [[]]
+
+
+def test_what_a_kill_left_of_a_claim_goes_in_time(tmp_path):
+    for name, age in (("claim.old", 2 * CLAIM_AGE), ("claim.now", 0.0)):
+        (tmp_path / name).touch()
+        os.utime(tmp_path / name, (time.time() - age,) * 2)
+    assert Succession(tmp_path).number == 1
+    assert sorted(path.name for path in tmp_path.iterdir()) == ["claim.now", "lock.1"]
+
+
 def test_what_a_dead_process_owed_is_taken_up_once_and_its_files_go(tmp_path):
     first = shift(tmp_path)
     for name in ("a", "b", "c"):
@@ -112,7 +138,7 @@
         first.journal.take(kept(name))
     first.journal.sent("b", 0)
     first.close()
-    assert killed_at_each_step(tmp_path, origin, {"a": set(), "b": {0}, "c": set()}, "a", "c") == 8
+    assert killed_at_each_step(tmp_path, origin, {"a": set(), "b": {0}, "c": set()}, "a", "c") == 10
 
 
 def test_what_was_handed_over_is_the_others_alone(tmp_path):
