A dispatch that never came to its server uses up no try

Cause: Sender.ended spared refused connections alone. The new test (no room for 4.5 s) ended as deferred before and goes out now. The parameter `tried` of CallOwner.ended goes: how the call ended says it.

--- a/linkdock/sender/sender.py
+++ b/linkdock/sender/sender.py
@@ -11,7 +11,7 @@
 from ..facade import (
     DELIVERED,
     NEVER_RAN,
-    NOT_CONNECTED,
+    NOT_SENT,
     Cancel,
     Deny,
     Dispatch,
@@ -43,6 +43,8 @@
 
 log = logging.getLogger(__name__)
 
+JOURNAL_PAUSE = 0.05  # seconds until a dispatch for which the journal had no room is tried again
+
 
 class Beside(Protocol):
     """What a sender tells the process that is another one of it, and leaves to it."""
@@ -65,6 +67,7 @@
         self._calls: dict[tuple[str, int], Call] = {}
         self._unsafe_until: float | None = None  # set while stopping
         self._left = 0  # requests left for the next life
+        self._no_room_until = -inf  # the journal had no room for a dispatch; until then it is not asked again
         self.beside: Beside | None = None  # where another process of this sender may live
         self.backend: Backend
 
@@ -195,7 +198,7 @@
             request = self._context.requests.get(item.request)
             apart = request is not None and items and (request.alone or requests[0].alone)
             if request is None or apart or self._held_back(request, now):
-                self.ended(order.server, item, "not sent", 0.0, tried=not apart)
+                self.ended(order.server, item, NOT_SENT, 0.0)
                 continue
             left = request.until - now
             items.append(item._replace(limit=min(item.limit or left, left)))
@@ -237,6 +240,7 @@
             why = "it may have run, and the window for repeats is over"
         elif not self._context.journal.sent(item.request, item.attempt):
             why = "the journal has no room"
+            self._no_room_until = now + JOURNAL_PAUSE
         else:
             request.sent[item.attempt] = now
             if self._context.observer is not None:
@@ -266,19 +270,19 @@
         owed: bool = False,
         due: float = inf,
         read: str = "",
-        tried: bool = True,
     ) -> None:
         """A dispatch has its outcome: on record what matters for the next life, then for the decisions."""
         self._calls.pop((item.request, item.attempt), None)
         if self._context.observer is not None:
             self._context.observer.outcome(server, item, how, elapsed, wait, over, read)
-        request = self._context.requests.get(item.request)
+        request, tried = self._context.requests.get(item.request), True
         if how in NEVER_RAN:
             self._context.journal.never(item.request, item.attempt)
-            if request is not None:
-                # Danger: servers that refuse connections would use up all attempts in no time. By the protocol a
-                # call counts once it has come to its server.
-                tried = request.sent.pop(item.attempt, None) is not None or tried and how != NOT_CONNECTED
+            # By the protocol a call counts once it has come to its server: what refuses connections, or the sender's
+            # own want of room, would use up all attempts in no time.
+            tried = request is not None and request.sent.pop(item.attempt, None) is not None
+            if how == NOT_SENT and not tried:
+                wait = max(wait, self._no_room_until - self._context.clock())
         self._context.facade.report(End(item.request, item.attempt, server, how, elapsed, wait, load, over, tried))
         if owed:
             self._ends.finish(item.request, "undeliverable", {"id": item.request, "status": "undeliverable"})
--- a/tests/test_races_tries.py
+++ b/tests/test_races_tries.py
@@ -1,10 +1,17 @@
 """A try that never came to a server is none of a message's attempts, in this life and the next."""
 
+import asyncio
 import json
 import time
 
 import pytest
 from peers import UNHURRIED, Backend, owed, refuse, settled
+from test_races_windows import OneSender
+
+from linkdock.facade import DELIVERED, NOT_SENT, Item
+from linkdock.interface import Effect
+from linkdock.sender.sender import JOURNAL_PAUSE
+from linkdock.state.requests import Request
 
 
 @pytest.mark.parametrize("servers", [3, 6])
@@ -39,6 +46,44 @@
     assert list(owed(program)) == ["aa01"]  # and is still tried
 
 
+class WithoutJournalRoom:
+    """A sender whose journal takes no record of a dispatch; its calls get as far as the last look."""
+
+    def __init__(self, folder):
+        self.desk, self.refused, self.gone = OneSender(folder, Effect.SAFE), 0, []
+        self.sender, self.journal = self.desk.sender, self.desk.sender._context.journal
+        self.room, self.journal.sent = False, lambda request, attempt: self.room
+        request = Request("aa01", "0", 0, 1, 0.0, b"x", answer=lambda said: True)
+        self.sender.ask("any", 1, 6.0, request, False, False)
+
+    def run(self, seconds):
+        until = self.desk.now + seconds
+        while self.desk.now < until:
+            self.desk.now += 0.005
+            self.sender.beat()
+            for name, attempt in list(self.sender._calls):
+                item = Item(name, attempt, 1.0)
+                if self.sender.may_go("s1", item):
+                    self.gone.append(item)
+                    self.sender.ended("s1", item, DELIVERED, 0.1, over=True)
+                else:
+                    self.refused += 1
+                    self.sender.ended("s1", item, NOT_SENT, 0.0)
+
+
+# Guards against a message that ends with no try left and no call: each tick without room in the journal used one up.
+def test_a_message_for_whose_dispatch_the_journal_has_no_room_keeps_its_tries(tmp_path):
+    async def story():
+        one = WithoutJournalRoom(tmp_path)
+        one.run(4.5)
+        assert 5 <= one.refused <= 4.5 / JOURNAL_PAUSE  # as often as a message may be tried; and not each tick
+        one.room = True
+        one.run(1.0)
+        assert len(one.gone) == 1
+
+    asyncio.run(story())
+
+
 @pytest.mark.parametrize("size", [20000, 40000])
 def test_bodies_that_do_not_fit_in_one_shared_call_all_go_out_in_their_turn(start, size):
     server = Backend("s1", kind="batching")
