After a trial has failed the next one keeps to the pace of trials alone

Cause: the next trial is set when one is sent, at least two p95 of its class later, so that the two do not go side by side, and was not taken back when the trial ended. The new test failed before (no dispatch in 7 s) and passes now. The pace that the endpoints bear cold is as before: its draw is kept, and only the last trial of a route moves it.

--- a/linkdock/decisions/cold.py
+++ b/linkdock/decisions/cold.py
@@ -33,9 +33,15 @@
         """One trial at a time for a route; those of all relays together stay within what it can take cold."""
         route = link.route
         load = TRIAL_LOAD * self.s.fall_multiple * self.cold_part(link, 0.0)
-        route.trial_at = self.now + max(at_least, max(route.pause, 1 / load) * self.random.uniform(0.5, 1.5))
+        pause = max(route.pause, 1 / load) * self.random.uniform(0.5, 1.5)
+        route.trial_paced, route.trial_at = self.now + pause, self.now + max(at_least, pause)
         route.pause = min(route.pause * RETRY_GROW, self.s.tip_after)
 
+    def trial_ended(self, link: Link, sent: float) -> None:
+        """The trial sent then has failed. The next one need not wait for what its class usually takes."""
+        if link.down_at is not None and sent == link.route.trial_sent:
+            link.route.trial_at = min(link.route.trial_at, max(link.route.trial_paced, self.now))
+
     def back(self, link: Link) -> None:
         link.down_at, link.tried_at = None, -inf
         self.down.pop(link, None)
--- a/linkdock/decisions/dispatch.py
+++ b/linkdock/decisions/dispatch.py
@@ -196,7 +196,7 @@
             one.attempts += 1
             self.unwait(one, dest)
         if link.down_at is not None:
-            link.tried_at = self.now
+            link.tried_at = link.route.trial_sent = self.now
             link.route.trials += 1
             self.next_trial(link, FLOOR * self.estimate(link.route, m.cls).p95())
         link.route.tokens -= 1
--- a/linkdock/decisions/relay.py
+++ b/linkdock/decisions/relay.py
@@ -216,6 +216,8 @@
         if o.result not in call.seen:  # ten outcomes of one call are one piece of evidence
             call.seen.append(o.result)
             self.learn(link, m, call, o)
+        if not call.msgs:
+            self.trial_ended(link, call.sent)
         self.touched[link.host] = link
         if m.key and o.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED):
             self.rest[m.key] = self.now + self.s.order_rest
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -412,3 +412,20 @@
         rig.message(mid)
         rig.outcome(mid, R.OK, later=2.0, elapsed=2.0)
     assert of(i.Send, rig.message(50))[0].timeout == pytest.approx(decide.FLOOR * 2.0)
+
+
+# Guards against quick messages that are given up untried: the next trial waited for what the slow class usually takes.
+def test_after_a_trial_of_the_slow_class_that_fails_at_once_the_quick_one_is_tried_in_its_time():
+    slow, quick = i.MessageClass(i.Effect.SAFE, 30.0, 120.0), i.MessageClass(i.Effect.SAFE, 1.0, 6.0)
+    rig = Rig(classes=[slow, quick])
+    rig.step(0, i.Hosts(i.ListKind.DELTA, [i.HostEntry("a", 1, weight=200.0, out_since=90.0)]))
+    assert of(i.Send, rig.step(0.1, i.Message(1, 0, 1, 120.0)))  # the trial
+    rig.outcome(1, R.ERROR, later=0.2, finished=True)
+    assert rig.relay.links["a"].down_at is not None
+    sent, final = [], []
+    rig.step(1.0, i.Message(2, 1, 1, 6.0))
+    for _ in range(60):
+        acts = rig.step(0.1)
+        sent += of(i.Send, acts)
+        final += of(i.Refuse, acts)
+    assert sent and not final
