Records tell that a message is sent again, so that the audit gives it an end of its own

Operators saw `two ends` for each message sent again from the store of undeliverable ones, and `owed again after its end` after a restart (design/undeliverable.md). Cause: no event told of it, so that the audit saw an attempt after the end. A new event `resent`, and `again` in `restored`, open the message anew; its end is told to no platform. That it must end, and once, and not be repeated in doubt, is judged as for any other.

--- a/linkdock/records/events.py
+++ b/linkdock/records/events.py
@@ -9,7 +9,8 @@
 FORMAT = 1
 
 STARTED = "started"  # name, format, pid, classes {name: {repeatable, deadline}}, part: again for each file
-RESTORED = "restored"  # id, cls, dest, until, used, doubt [attempts], notice (owed already, or null)
+RESTORED = "restored"  # id, cls, dest, until, used, doubt [attempts], notice (owed already, or null), again
+RESENT = "resent"  # id, cls, dest, until: could not be delivered before, new work now; its end is told to no platform
 READY = "ready"  # port
 HANDED_IN = "handed_in"  # id, client, cls, dest, left, again, held
 REFUSED = "refused"  # id, cls, dest, why: answered with an error, nothing begun
--- a/linkdock/records/observer.py
+++ b/linkdock/records/observer.py
@@ -95,8 +95,12 @@
             used=kept.used,
             doubt=sorted(kept.doubt),
             notice=None if kept.notice is None else kept.notice["status"],
+            again=kept.again,
         )
 
+    def resent(self, kept: Kept) -> None:
+        self._note(e.RESENT, id=kept.id, cls=kept.cls, dest=kept.destination, until=round(kept.until, 4))
+
     def dispatched(self, server: str, items: Iterable[Item]) -> None:
         for item in items:
             self._note(e.DISPATCHED, id=item.request, attempt=item.attempt, server=server, limit=round(item.limit, 4))
--- a/linkdock/sender/recovery.py
+++ b/linkdock/sender/recovery.py
@@ -42,6 +42,8 @@
                 # Where the store cannot be asked it waits for a life that can.
                 if b.undeliverable is not None and b.undeliverable.readable:
                     b.journal.end(kept.id)
+                    if b.observer is not None:
+                        b.observer.over(kept.id, "withdrawn", kept.until - unix)
                 continue
             if kept.notice is not None:
                 self._keep_turn(kept)
@@ -56,6 +58,8 @@
                 # It may have run and may not be repeated, or has no try left: nobody can do more, so that it ends now.
                 if again:
                     self._ends.over_again(kept.id, False)
+                    if b.observer is not None:
+                        b.observer.over(kept.id, "undeliverable", kept.until - unix)
                     continue
                 self._keep_turn(kept)
                 self._ends.owe_notice(kept.id, {"id": kept.id, "status": "undeliverable"}, False)
@@ -146,6 +150,8 @@
         if not b.journal.take(kept):
             return False
         b.journal.hold(message.id)
+        if b.observer is not None:
+            b.observer.resent(kept)
         b.requests.add(request)
         if b.figures is not None:
             b.figures.came += 1
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -182,6 +182,32 @@
     assert {a.REVIVED: 1}.items() <= lived(tape).verdict().items()
 
 
+def given_up(name):
+    tape = Tape().taken(name).sent(name).outcome(name, how="error", ran="maybe")
+    return tape.notice(name).over(name, "undeliverable").say("confirmed", 0.01, id=name)
+
+
+# Guards against an audit that calls an operator's resend a second end of the message.
+@pytest.mark.parametrize("restarted", [False, True])
+def test_a_message_that_is_sent_again_has_an_end_of_its_own(restarted):
+    tape = given_up("aa01").say("resent", 30.0, id="aa01", cls="order", dest=1, until=1050.0)
+    if restarted:
+        tape.start().say(
+            "restored", 0.6, id="aa01", cls="order", dest=1, until=1050.0, used=0, doubt=[], notice=None, again=True
+        )
+        tape.say("ready", port=1)
+    tape.sent("aa01").outcome("aa01").over("aa01")
+    assert lived(tape).verdict() == {}
+
+
+def test_a_message_that_is_sent_again_must_end_and_only_once():
+    tape = given_up("aa01").say("resent", 30.0, id="aa01", cls="order", dest=1, until=1050.0).sent("aa01")
+    assert lived(tape).verdict() == {a.NO_END: 1}
+    tape = given_up("aa01").say("resent", 30.0, id="aa01", cls="order", dest=1, until=1050.0).sent("aa01")
+    tape.outcome("aa01", how="error", ran="maybe").sent("aa01", 1).over("aa01", "undeliverable").over("aa01")
+    assert lived(tape).verdict() == {a.REPEAT: 1, a.TWO_ENDS: 1}
+
+
 def test_no_notice_is_overdue_until_a_while_after_a_restart():
     tape = Tape().taken("aa01", left=2.0).start()
     tape.say("restored", 3.0, id="aa01", cls="order", dest=1, until=1002.0, used=1, doubt=[0], notice=None)
