The keeper of connections may ask of a server without a destination

Operators with connections.json on saw the process end by itself ("stopped by a failure: TypeError", status 1) as soon as the keeper wanted to open a connection ahead, and again in each next life. The new test makes the pool as the process does; it failed with the same TypeError and passes now.

--- a/linkdock/state/table.py
+++ b/linkdock/state/table.py
@@ -106,12 +106,12 @@
         row = self.roster.row(name)
         return 0.0 if row is None else max(0.0, self._waits.get(self._route(row), -inf) - now)
 
-    def closed(self, name: str, now: float, destination: int) -> str | None:
-        """Why nothing for this destination may be sent to this server just now, or None."""
+    def closed(self, name: str, now: float, destination: int | None = None) -> str | None:
+        """Why nothing for this destination, or for any, may be sent to this server just now, or None."""
         row = self.roster.row(name)
         if row is None:
             return "is gone"
-        if row.destination != destination:
+        if destination is not None and row.destination != destination:
             return f"serves {row.destination} now"  # Danger: it was chosen for another, whose messages are not its own
         if row.health != "ready":
             return f"is {row.health}"
--- a/tests/test_connection_manager_bounds.py
+++ b/tests/test_connection_manager_bounds.py
@@ -1,12 +1,17 @@
 """The manager of connections under its bounds: descriptors, shares, those away, restarts, any order of events."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 from handshakes import Wire
 
 from linkdock.connections import demand
 from linkdock.connections.manager import ROUND
+from linkdock.facade import Server
+from linkdock.service import switched
+from linkdock.state.table import ServerTable
+from linkdock.state.wheel import Wheel
 
 
 def test_with_descriptors_at_their_limit_a_surge_leaves_the_others_their_fair_part():
@@ -181,3 +186,16 @@
             lines += [u.connection for u in wire.used]
             wire.used.clear()
             assert len(lines) == sum(e.busy for e in ends)
+
+
+# Guards against an end of the whole process in the moment in which it first wants to open a connection ahead.
+def test_the_pool_of_a_process_learns_why_a_server_may_not_be_dialled(tmp_path, monkeypatch):
+    (tmp_path / "connections.json").write_text('{"on": true}')
+    monkeypatch.setenv("LINKDOCK_DEPLOY", str(tmp_path))
+    table = ServerTable([False], lambda: 100.0)
+    table.update([Server("s1", ("127.0.0.1", 1), 1), Server("s2", ("127.0.0.1", 1), 1, "draining")], 1)
+    rules = SimpleNamespace(connect_timeout=1.5, cold_share=0.3, cold_time=10.0)
+    config = SimpleNamespace(settings=rules, most_backends=10, state=tmp_path)
+    pool = switched.kept_pool(config, table, Wheel(0.005, 100.0), lambda work: work.close(), lambda: 100.0, 5.0)
+    blocked = pool._blocked
+    assert [blocked(name) for name in ("s1", "s2", "s3")] == [None, "is draining", "is gone"]
