--- a/linkdock/protocol/backend.py
+++ b/linkdock/protocol/backend.py
@@ -37,11 +37,12 @@
         owed: bool = False,
         due: float = inf,
         read: str = "",
+        tried: bool = True,
     ) -> None:
         """An item has its outcome; `over` where the request is over, `owed` where its end is still owed.
 
         `due` is when the first of those that shared its call ran out of time, on the loop's clock; `read` says for
-        the record what came back.
+        the record what came back, `tried` whether it counts as one of its attempts.
         """
 
     def repeatable(self, request: Request) -> bool:
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -183,7 +183,7 @@
             # of large bodies would be too long as a whole: what does not fit goes in a call of its own.
             room = len(self._requests[request].body) * 4 // 3 + ROOM_OF_ONE
             if size and size + room > MOST_BODY:
-                self._end(request, NOT_SENT)
+                self._end(request, NOT_SENT, tried=False)
             elif not backend.owner.may_go(self.server, item):
                 # With what is left of a wait, which another process of this sender may have been told.
                 self._end(request, NOT_SENT, wait=backend.table.waits(self.server, backend.clock()))
--- a/linkdock/sender/sender.py
+++ b/linkdock/sender/sender.py
@@ -11,7 +11,7 @@
 from ..facade import (
     DELIVERED,
     NEVER_RAN,
-    NOT_SENT,
+    NOT_CONNECTED,
     Cancel,
     Deny,
     Dispatch,
@@ -198,7 +198,7 @@
             request = self._context.requests.get(item.request)
             apart = request is not None and items and (request.alone or requests[0].alone)
             if request is None or apart or self._held_back(request, now):
-                self.ended(order.server, item, NOT_SENT, 0.0)
+                self.ended(order.server, item, "not sent", 0.0, tried=not apart)
                 continue
             left = request.until - now
             items.append(item._replace(limit=min(item.limit or left, left)))
@@ -270,19 +270,22 @@
         owed: bool = False,
         due: float = inf,
         read: str = "",
+        tried: bool = True,
     ) -> None:
         """A dispatch has its outcome: on record what matters for the next life, then for the decisions."""
         self._calls.pop((item.request, item.attempt), None)
         if self._context.observer is not None:
             self._context.observer.outcome(server, item, how, elapsed, wait, over, read)
-        request, tried = self._context.requests.get(item.request), True
+        request = self._context.requests.get(item.request)
         if how in NEVER_RAN:
             self._context.journal.never(item.request, item.attempt)
-            # By the protocol a call counts once it has come to its server: what refuses connections, or the sender's
-            # own want of room, would use up all attempts in no time.
-            tried = request is not None and request.sent.pop(item.attempt, None) is not None
-            if how == NOT_SENT and not tried:
-                wait = max(wait, self._no_room_until - self._context.clock())
+            if request is not None:
+                # By the protocol a call counts once it has come to its server: servers that refuse connections, or a
+                # journal without room, would use up all attempts in no time.
+                no_room = self._no_room_until - self._context.clock()
+                came = request.sent.pop(item.attempt, None) is not None
+                tried = came or tried and how != NOT_CONNECTED and no_room <= 0
+                wait = wait if came else max(wait, no_room)
         self._context.facade.report(End(item.request, item.attempt, server, how, elapsed, wait, load, over, tried))
         if owed:
             self._ends.finish(item.request, "undeliverable", {"id": item.request, "status": "undeliverable"})
