A soak of restarts: signals in series, kills, upgrades and a crowd, judged by the peers

Need: the issue beside the known failures asks for restarts under clients that use each connection until the kill, which comes 3.7 s after SIGTERM, and signals in series, judged from what clients, members and discovery saw. `linkdock lab restart-soak` draws each run from its seed, plays the real program and prints each finding with the command that plays it again.

--- a/linkdock/console/main.py
+++ b/linkdock/console/main.py
@@ -204,6 +204,21 @@
     _experiment("soak", file, {"seconds": seconds}, as_json)
 
 
+@lab.command()
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="The first run's.")
+@click.option("--runs", type=click.IntRange(1), default=10, show_default=True, help="How many, one a seed.")
+@click.option("--jobs", type=click.IntRange(1, 16), default=3, show_default=True, help="Runs side by side.")
+@click.option("--planted", help="A fault of linkdock/lab/restart_soak/planted.py that the program then has.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object a run.")
+def restart_soak(seed: int, runs: int, jobs: int, planted: str | None, as_json: bool) -> None:
+    """Real processes under series of signals, kills, upgrades and a crowd: is any message lost, late or sent twice?"""
+    try:
+        from ..lab.restart_soak.command import report
+    except ImportError as bad:
+        raise refusal(MissingPackagesError("requirements-lab.txt", bad, "the laboratory")) from None
+    raise SystemExit(1 if report(seed, runs, jobs, planted, as_json, click.echo) else 0)
+
+
 @lab.command()
 @click.option("--senders", type=int, help="How many.")
 @click.option("--seeds", type=int, help="How many schedules of each story.")
