--- a/review/stand_ins/sender.py
+++ b/review/stand_ins/sender.py
@@ -69,9 +69,10 @@
         """`shared`: the platform holds the clients' listening socket, as it does on days with upgrades."""
         self._record, self._folder = record, folder
         self._command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        self._state, self._tmp = folder / "state", folder / "tmp"
-        self._state.mkdir()
+        self.state, self._tmp = folder / "state", folder / "tmp"
+        self.state.mkdir()
         self._tmp.mkdir()
+        self.disk_mb = 3
         self._held = socket.create_server(("127.0.0.1", 0), backlog=512) if shared else None
         self.dial = ("127.0.0.1", _free_port()) if self._held is None else self._held.getsockname()
         self._config = {
@@ -79,7 +80,7 @@
             "listen": f"{self.dial[0]}:{self.dial[1]}",
             "discovery": agent.address,
             "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512, "disk_mb": 3},
+            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512, "disk_mb": self.disk_mb},
             "known": agent.list(),
             "settings": settings,
         }
@@ -102,7 +103,7 @@
             "RELAY_NAME": told["name"],
             "RELAY_LISTEN": told["listen"],
             "RELAY_DISCOVERY": told["discovery"],
-            "RELAY_STATE": str(self._state),
+            "RELAY_STATE": str(self.state),
             "RELAY_CONFIG": str(path),
             "TMPDIR": str(self._tmp),
         }
