--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,6 +12,7 @@
 import sys
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
@@ -29,9 +30,11 @@
 DESTINATIONS = 4  # of one endpoint each; the first is silent
 SILENT = 15.0  # seconds for which it is
 WORK = 0.05  # seconds that the others work on a call
+SENDERS = 3  # of the deployment, each with clients of its own
 SLOTS = 4  # calls out at once, the least that a site tells
 OPEN = 400  # messages that the sender may hold
-FIRST, SECOND = 2.5, 9.0  # seconds from the beginning of the traffic to the start of each new process
+FIRST, SECOND = 2.5, 9.0  # seconds from the beginning of the traffic to the start of each new process; each further
+APART = 0.2  # sender is upgraded so many seconds later
 TOGETHER = 2.0  # seconds from the new process's yes to SIGTERM for the old one
 END = 15.5  # seconds from the beginning of the traffic to its end
 LOOK = 0.01  # seconds between looks at the folder
@@ -62,7 +65,10 @@
     def _look(self) -> None:
         began = 0.0
         while True:
-            size, files = self._size()
+            try:
+                size, files = self._size()
+            except FileNotFoundError:  # the case is over, and the folder has gone
+                return
             self.peak = max(self.peak, (size, files))
             if size > self._most:
                 if not self._over:
@@ -92,34 +98,45 @@
         for number in range(1, DESTINATIONS + 1)
     ]
     agent = Agent(record, endpoints)
-    sender = Sender(record, agent, folder, settings(), shared=True)
+    senders, broken = [], []
+    for number in range(SENDERS):
+        (folder / f"n{number}").mkdir()
+        senders.append(Sender(record, agent, folder / f"n{number}", settings(), shared=True))
     try:
-        return _play(record, sender)
+        with ThreadPoolExecutor(SENDERS) as plays:
+            for found in plays.map(lambda n: _play(record, senders[n], n), range(SENDERS)):
+                broken += found
     finally:
-        sender.close()
+        for sender in senders:
+            sender.close()
+    return broken
 
 
-def _play(record: Record, sender: Sender) -> list[str]:
+def _play(record: Record, sender: Sender, number: int) -> list[str]:
     process = sender.start()
     folder, over = Folder(record, sender.state, int(sender.disk_mb * 1e6)), threading.Event()
     heard: dict[str, int] = {}
-    feeders = [threading.Thread(target=_feed, args=(record, sender, n, over, heard)) for n in range(FEEDERS)]
+    names = [f"{number:x}d0021c6f1{feeder:02x}" for feeder in range(FEEDERS)]
+    feeders = [threading.Thread(target=_feed, args=(record, sender, name, over, heard)) for name in names]
     began = record.now()
     for feeder in feeders:
         feeder.start()
     for at in (FIRST, SECOND):
-        time.sleep(max(0.0, began + at - record.now()))
+        time.sleep(max(0.0, began + at + number * APART - record.now()))
         if TROUBLE:
             process = _upgrade(record, sender, process)
     time.sleep(max(0.0, began + END - record.now()))
     over.set()
     for feeder in feeders:
         feeder.join()
-    record.note("case", f"clients heard {heard}; at most {folder.peak[0]} bytes lay in the folder: {folder.peak[1]}")
+    record.note(
+        "case",
+        f"sender {number}: clients heard {heard}; at most {folder.peak[0]} bytes lay in the folder: {folder.peak[1]}",
+    )
     if process.poll() is not None or heard.get("+OK", 0) < 10:
         raise RuntimeError("hardly an order was taken on, or the process has ended")
     return [
-        f"{most} bytes lay in the folder, it was over its limit for {seconds:.2f} s on end"
+        f"{most} bytes lay in the folder of sender {number}, it was over its limit for {seconds:.2f} s on end"
         for seconds, most in folder.spans
         if seconds > LONG
     ]
@@ -138,12 +155,12 @@
     return new
 
 
-def _feed(record: Record, sender: Sender, feeder: int, over: threading.Event, heard: dict[str, int]) -> None:
+def _feed(record: Record, sender: Sender, names: str, over: threading.Event, heard: dict[str, int]) -> None:
     """One order after another, each on a connection of its own; one that is turned away stays away."""
     number = 0
     while not over.wait(EVERY):
         number += 1
-        name = f"4d0021c6f1{feeder:02x}{number:04x}"
+        name = f"{names}{number:04x}"
         try:
             client = Client(sender.dial)
             destination = number % DESTINATIONS + 1
