--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""Usual clients that send many commands at once: the next are written before the answer to the first.
+"""An upgrade, and a bad client that uses the id of another client's open request.
 
-Twelve requests come on one connection in one piece. Each is whole and can be taken.
+A request with an order (a class that must never take effect twice) is open at the old process, its call is out. The new
+process runs beside it. A bad client hands in a request with that id.
 """
 
 from __future__ import annotations
@@ -16,49 +17,73 @@
 from stand_ins.endpoint import Endpoint  # noqa: E402
 from stand_ins.platform import Agent  # noqa: E402
 from stand_ins.record import Record  # noqa: E402
-from stand_ins.sender import SETTINGS, Sender  # noqa: E402
+from stand_ins.sender import KILL_AFTER, SETTINGS, Sender  # noqa: E402
 
-AT_ONCE = 12  # requests that a client writes without waiting; the bench's clients wrote up to 15
-CLIENTS = 5
-DEADLINE = 4.0  # seconds
-LATE = 0.5  # seconds after a request's time in which its answer only earns nothing
-WORK = 0.02  # seconds that the endpoint works on a call
+WORK = 0.36  # seconds that the endpoint works on a call: the usual pace of a site's classes is 0.21 to 0.36 s
+ORDERS = [f"7f3a9c21e0b4d{number:03x}" for number in range(8)]
+DEADLINE = 16_000  # milliseconds
+YES_WITHIN = 6.0  # seconds after which the old process is told to end
+TOGETHER = 0.6  # seconds from one order to the next
+USES = 6  # connections on which the bad client uses one id, one after another
 
 
 def case(record: Record, folder: Path) -> list[str]:
     """The breaks of the rule."""
     endpoint = Endpoint(record, "s-east-1", 1, lambda request: WORK)
     agent = Agent(record, [endpoint])
-    sender = Sender(record, agent, folder, SETTINGS)
+    sender = Sender(record, agent, folder, SETTINGS, shared=True)
     try:
-        sender.start()
-        time.sleep(1.0)
-        return [broken for number in range(CLIENTS) for broken in _client(record, sender, number)]
+        return _play(record, sender, endpoint)
     finally:
         sender.close()
 
 
-def _client(record: Record, sender: Sender, number: int) -> list[str]:
-    """One client and its requests: without the disruption it waits for each answer before it writes the next."""
-    names = [f"9b1f03aa5c{number:02x}{one:04x}" for one in range(AT_ONCE)]
-    client, answered, ended = Client(sender.dial), [], ""
-    until = record.now() + DEADLINE + LATE
-    try:
-        for group in [names] if TROUBLE else [[name] for name in names]:
-            client.send(b"".join(enqueue(name, "news", int(DEADLINE * 1000), 1, b"body") for name in group))
-            record.note("client", f"{number} wrote {' '.join(group)}")
-            for name in group:
-                heard = client.heard(max(0.001, until - record.now()))
-                if heard is None:
-                    break
-                answered.append(name)
-                record.note("client", f"{number} heard for {name}: {heard}")
-    except ConnectionError:
-        ended = ", and its connection was ended"
-        record.note("client", f"{number}: its connection was ended, {len(answered)} of {AT_ONCE} were answered")
+def _play(record: Record, sender: Sender, endpoint: Endpoint) -> list[str]:
+    old = sender.start()
+    time.sleep(1.0)
+    began = record.now()
+    new = sender.start()
+    taken = []
+    for name in ORDERS:
+        taken += _hand_in(record, sender, name)
+        if TROUBLE:
+            _misuse(record, sender, name)
+        time.sleep(TOGETHER - WORK if TROUBLE else TOGETHER)
+    time.sleep(max(0.0, began + YES_WITHIN - record.now()))
+    sender.terminate(old)
+    time.sleep(KILL_AFTER)
+    if old.poll() is None:
+        sender.kill(old)
+    record.note("case", f"old process {old.poll()}, new process {new.poll()}")
+    if len(taken) < len(ORDERS) // 2 or new.poll() is not None:
+        raise RuntimeError("hardly an order was taken on, or the new process has ended")
+    return [
+        f"order {name} was run {len(endpoint.runs_of(name))} times" for name in taken if len(endpoint.runs_of(name)) > 1
+    ]
+
+
+def _hand_in(record: Record, sender: Sender, name: str) -> list[str]:
+    """The usual client: one request, and a wait for its answer."""
+    client = Client(sender.dial)
+    client.send(enqueue(name, "charge", DEADLINE, 1, b"order of the usual client"))
+    heard = client.heard()
+    record.note("client", f"handed in {name}, heard {heard}")
     client.close()
-    missing = [name for name in names if name not in answered]
-    return [f"client {number}: {len(missing)} of {AT_ONCE} requests got no answer{ended}"] if missing else []
+    return [name] if heard == "+OK" else []
+
+
+def _misuse(record: Record, sender: Sender, name: str) -> None:
+    """The bad client: while that request is open it hands in one with its id."""
+    for _ in range(USES):
+        time.sleep(WORK / 2 / USES)
+        client = Client(sender.dial)
+        client.send(enqueue(name, "charge", DEADLINE, 1, b"bytes of the bad client"))
+        try:
+            heard = client.heard()
+        except OSError:
+            heard = "the end of its connection"
+        record.note("bad client", f"used the id {name}, heard {heard}")
+        client.close()
 
 
 if __name__ == "__main__":
--- a/review/stand_ins/client.py
+++ b/review/stand_ins/client.py
@@ -7,9 +7,17 @@
 CLIENT_WAITS = 0.4  # seconds that a client waits for its answer
 
 
-def enqueue(name: str, cls: str, milliseconds: int, destination: int, body: bytes, key: str = "0" * 16) -> bytes:
-    """The bytes of one request."""
-    pairs = f"c={cls},d={milliseconds},dest={destination}".encode()
+def enqueue(
+    name: str,
+    cls: str,
+    milliseconds: int,
+    destination: int,
+    body: bytes,
+    key: str = "0" * 16,
+    idempotency_key: str = "",
+) -> bytes:
+    """The bytes of one request. `key` is that of the order; the idempotency key is named if there is one."""
+    pairs = f"c={cls},d={milliseconds},{f'k={idempotency_key},' if idempotency_key else ''}dest={destination}".encode()
     words = [b"ENQUEUE", key.encode(), name.encode(), pairs, body]
     return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
 
--- a/review/stand_ins/endpoint.py
+++ b/review/stand_ins/endpoint.py
@@ -23,9 +23,12 @@
 class Endpoint:
     """Runs every call that comes to it. A call whose connection ends runs on, and its work takes as long."""
 
-    def __init__(self, record: Record, name: str, destination: int, work: Callable[[Request], float]) -> None:
-        """`work` says for how many seconds a call is worked on."""
+    def __init__(
+        self, record: Record, name: str, destination: int, work: Callable[[Request], float], kind: str = "plain"
+    ) -> None:
+        """`work` says for how many seconds a call is worked on, `kind` what the list calls its class."""
         self._record, self.name, self.destination, self._work = record, name, destination, work
+        self._kind = kind
         self.runs: list[Run] = []
         self._sock = listen()
         self.address = address(self._sock)
@@ -37,7 +40,7 @@
             "host": self.name,
             "dial": self.address,
             "site": "east",
-            "class": "plain",
+            "class": self._kind,
             "block": self.destination,
             "health": "ready",
             "share": 1.0,
