--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,12 +1,15 @@
-"""An upgrade, and a bad client that uses the id of another client's open request.
+"""An upgrade while much is held, and bad clients that use the ids of other clients' open requests.
 
-A request with an order (a class that must never take effect twice) is open at the old process, its call is out. The new
-process runs beside it. A bad client hands in a request with that id.
+Orders come in a burst and wait for their turn. A new process is started and says yes, the old one is told to end and
+hands over what waits. Meanwhile bad clients hand in requests with ids of orders that wait.
 """
 
 from __future__ import annotations
 
+import copy
+import random
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -19,71 +22,90 @@
 from stand_ins.record import Record  # noqa: E402
 from stand_ins.sender import KILL_AFTER, SETTINGS, Sender  # noqa: E402
 
+ORDERS, EVERY = 200, 0.01  # orders of the burst, and seconds from one to the next: 100 a second at the most
 WORK = 0.36  # seconds that the endpoint works on a call: the usual pace of a site's classes is 0.21 to 0.36 s
-ORDERS = [f"7f3a9c21e0b4d{number:03x}" for number in range(8)]
-DEADLINE = 16_000  # milliseconds
-YES_WITHIN = 6.0  # seconds after which the old process is told to end
-TOGETHER = 0.6  # seconds from one order to the next
-USES = 6  # connections on which the bad client uses one id, one after another
+SLOTS = 4  # calls out at once
+DEADLINE = 12.0  # seconds
+LATE = 0.35  # seconds after an order's time in which its end may come
+BAD_CLIENTS = 6
+BAD_FOR = 1.0  # seconds from SIGTERM for which they go on
+USUAL, BAD = b"order of the usual client", b"bytes of a bad client"
+
+
+def settings() -> dict:
+    """A small deployment."""
+    told = copy.deepcopy(SETTINGS)
+    told["extra"]["calls-out"] = SLOTS
+    told["limits"]["max-open"] = 2 * ORDERS
+    told["grades"][1]["hard-limit"] = DEADLINE
+    return told
 
 
 def case(record: Record, folder: Path) -> list[str]:
     """The breaks of the rule."""
-    endpoint = Endpoint(record, "s-east-1", 1, lambda request: WORK)
+    endpoint = Endpoint(record, "s-east-1", 1, lambda request: WORK, takes=lambda request: request.body == USUAL)
     agent = Agent(record, [endpoint])
-    sender = Sender(record, agent, folder, SETTINGS, shared=True)
+    sender = Sender(record, agent, folder, settings(), shared=True)
     try:
-        return _play(record, sender, endpoint)
+        return _play(record, sender, agent, endpoint)
     finally:
         sender.close()
 
 
-def _play(record: Record, sender: Sender, endpoint: Endpoint) -> list[str]:
+def _play(record: Record, sender: Sender, agent: Agent, endpoint: Endpoint) -> list[str]:
     old = sender.start()
     time.sleep(1.0)
-    began = record.now()
+    taken = _burst(record, sender)
     new = sender.start()
-    taken = []
-    for name in ORDERS:
-        taken += _hand_in(record, sender, name)
-        if TROUBLE:
-            _misuse(record, sender, name)
-        time.sleep(TOGETHER - WORK if TROUBLE else TOGETHER)
-    time.sleep(max(0.0, began + YES_WITHIN - record.now()))
+    over = threading.Event()
+    bad = [threading.Thread(target=_misuse, args=(record, sender, n, list(taken), over)) for n in range(BAD_CLIENTS)]
+    for client in bad if TROUBLE else ():
+        client.start()
     sender.terminate(old)
-    time.sleep(KILL_AFTER)
+    told = record.now()
+    time.sleep(BAD_FOR)
+    over.set()
+    while old.poll() is None and record.now() < told + KILL_AFTER:
+        time.sleep(0.01)
     if old.poll() is None:
         sender.kill(old)
-    record.note("case", f"old process {old.poll()}, new process {new.poll()}")
-    if len(taken) < len(ORDERS) // 2 or new.poll() is not None:
+    record.note("platform", f"the old process ended {record.now() - told:.2f} s after it was told to")
+    time.sleep(max(0.0, max(taken.values(), default=0.0) + DEADLINE + LATE - record.now()))
+    if new.poll() is not None or len(taken) < ORDERS // 2:
         raise RuntimeError("hardly an order was taken on, or the new process has ended")
-    return [
-        f"order {name} was run {len(endpoint.runs_of(name))} times" for name in taken if len(endpoint.runs_of(name)) > 1
-    ]
-
-
-def _hand_in(record: Record, sender: Sender, name: str) -> list[str]:
-    """The usual client: one request, and a wait for its answer."""
-    client = Client(sender.dial)
-    client.send(enqueue(name, "charge", DEADLINE, 1, b"order of the usual client"))
-    heard = client.heard()
-    record.note("client", f"handed in {name}, heard {heard}")
+    ended = [one for one in taken if endpoint.runs_of(one) or one in agent.notices]
+    record.note("case", f"{len(taken)} orders taken on, {len(ended)} of them run or ended by a notice")
+    return [f"order {one} was taken on, and neither run nor ended by a notice" for one in taken if one not in ended]
+
+
+def _burst(record: Record, sender: Sender) -> dict[str, float]:
+    """The usual client: it waits for each answer. The orders that were taken on, and when each was handed in."""
+    taken, client = {}, Client(sender.dial)
+    for number in range(ORDERS):
+        name, at = f"7f3a9c21e0b{number:05x}", record.now()
+        client.send(enqueue(name, "charge", int(DEADLINE * 1000), 1, USUAL))
+        heard = client.heard()
+        record.note("client", f"handed in {name}, heard {heard}")
+        if heard == "+OK":
+            taken[name] = at
+        time.sleep(EVERY)
     client.close()
-    return [name] if heard == "+OK" else []
+    return taken
 
 
-def _misuse(record: Record, sender: Sender, name: str) -> None:
-    """The bad client: while that request is open it hands in one with its id."""
-    for _ in range(USES):
-        time.sleep(WORK / 2 / USES)
-        client = Client(sender.dial)
-        client.send(enqueue(name, "charge", DEADLINE, 1, b"bytes of the bad client"))
+def _misuse(record: Record, sender: Sender, number: int, names: list[str], over: threading.Event) -> None:
+    """A bad client: at full speed it hands in requests with ids of other clients' open requests."""
+    drawn = random.Random(number)
+    while not over.is_set():
+        name = drawn.choice(names)
         try:
+            client = Client(sender.dial)
+            client.send(enqueue(name, "charge", int(DEADLINE * 1000), 1, BAD))
             heard = client.heard()
+            client.close()
         except OSError:
             heard = "the end of its connection"
-        record.note("bad client", f"used the id {name}, heard {heard}")
-        client.close()
+        record.note(f"bad client {number}", f"used the id {name}, heard {heard}")
 
 
 if __name__ == "__main__":
--- a/review/stand_ins/endpoint.py
+++ b/review/stand_ins/endpoint.py
@@ -24,11 +24,20 @@
     """Runs every call that comes to it. A call whose connection ends runs on, and its work takes as long."""
 
     def __init__(
-        self, record: Record, name: str, destination: int, work: Callable[[Request], float], kind: str = "plain"
+        self,
+        record: Record,
+        name: str,
+        destination: int,
+        work: Callable[[Request], float],
+        kind: str = "plain",
+        takes: Callable[[Request], bool] = lambda request: True,
     ) -> None:
-        """`work` says for how many seconds a call is worked on, `kind` what the list calls its class."""
+        """`work` says for how many seconds a call is worked on, `kind` what the list calls its class.
+
+        What it does not take it answers with 400, and does not run it.
+        """
         self._record, self.name, self.destination, self._work = record, name, destination, work
-        self._kind = kind
+        self._kind, self._takes = kind, takes
         self.runs: list[Run] = []
         self._sock = listen()
         self.address = address(self._sock)
@@ -55,6 +64,11 @@
     def _serve(self, line: Line) -> None:
         while (request := line.request()) is not None:
             name = request.headers.get("x-trace-id", "")
+            if not self._takes(request):
+                self._record.note(self.name, f"answer {name} 400, it is not what it can use: {request.body[:40]!r}")
+                if not line.answer(400):
+                    break
+                continue
             run = Run(name, request.body, self._record.now(), [])
             self.runs.append(run)
             self._record.note(self.name, f"run {name} body {request.body[:40]!r}")
