--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,12 +22,13 @@
 from stand_ins.record import Record  # noqa: E402
 from stand_ins.sender import KILL_AFTER, SETTINGS, Sender  # noqa: E402
 
-ORDERS, EVERY = 200, 0.01  # orders of the burst, and seconds from one to the next: 100 a second at the most
+ORDERS, EVERY = 400, 0.01  # orders of the burst, and seconds from one to the next: 100 a second at the most
 WORK = 0.36  # seconds that the endpoint works on a call: the usual pace of a site's classes is 0.21 to 0.36 s
 SLOTS = 4  # calls out at once
 DEADLINE = 12.0  # seconds
-LATE = 0.35  # seconds after an order's time in which its end may come
-BAD_CLIENTS = 6
+LATE = 0.35  # seconds after an order's time in which its end may come; what has none
+NEVER = 2.0  # so many seconds later has none at all
+BAD_CLIENTS = 8
 BAD_FOR = 1.0  # seconds from SIGTERM for which they go on
 USUAL, BAD = b"order of the usual client", b"bytes of a bad client"
 
@@ -70,7 +71,7 @@
     if old.poll() is None:
         sender.kill(old)
     record.note("platform", f"the old process ended {record.now() - told:.2f} s after it was told to")
-    time.sleep(max(0.0, max(taken.values(), default=0.0) + DEADLINE + LATE - record.now()))
+    time.sleep(max(0.0, max(taken.values(), default=0.0) + DEADLINE + LATE + NEVER - record.now()))
     if new.poll() is not None or len(taken) < ORDERS // 2:
         raise RuntimeError("hardly an order was taken on, or the new process has ended")
     ended = [one for one in taken if endpoint.runs_of(one) or one in agent.notices]
