Name no idempotency key in a shared call for a message that has none

Cause: in a shared call `key` is the idempotency key, but `batches.encode` put the key of the order there where a message has no idempotency key. Every order of a key carries the same, so that a receiver that drops repeats by key took the next one for a repeat.

Change: such a message has no `key` in a shared call, as it has no header in a call of its own. Its receiver has nothing to drop it by.

Test: test_in_a_shared_call_the_key_of_the_order_is_no_idempotency_key.

--- a/linkdock/protocol/batches.py
+++ b/linkdock/protocol/batches.py
@@ -16,13 +16,20 @@
 
 def encode(requests: Iterable[Request]) -> bytes:
     """The body of the call."""
-    return json.dumps(
-        [
-            {"id": one.id, "key": one.idempotency_key or one.key, "body": base64.b64encode(one.body).decode()}
-            for one in requests
-        ],
-        separators=(",", ":"),
-    ).encode()
+    return json.dumps([_item(request) for request in requests], separators=(",", ":")).encode()
+
+
+def _item(request: Request) -> dict[str, str]:
+    """One message of the call.
+
+    `key` is the idempotency key that its client named. A message without one carries no `key`, as it carries no header
+    in a call of its own: the key by which its class keeps its order comes again with the next message of that key,
+    which a server would drop as a repeat.
+    """
+    item = {"id": request.id, "body": base64.b64encode(request.body).decode()}
+    if request.idempotency_key:
+        item["key"] = request.idempotency_key
+    return item
 
 
 def decode(body: bytes) -> dict[str, str]:
--- a/tests/test_idempotency_key.py
+++ b/tests/test_idempotency_key.py
@@ -60,6 +60,23 @@
     line.answer(200, b'[{"id":"aa01","state":"done"},{"id":"aa02","state":"done"}]')
 
 
+def test_in_a_shared_call_the_key_of_the_order_is_no_idempotency_key(start):
+    # A receiver that drops repeats by key dropped every later order of a key, which its client held to be delivered.
+    classes = [{**CLASSES[1], "keep-order": True}, KEYED[-1]]
+    server, slow = Backend("s1", kind="batching"), Backend("s2", destination=2)
+    client = start([server, slow], grades=classes, extra__calls_out=1).client()
+    assert hand_in(client, "bb01", "b", dest=2) == "+OK"  # takes the one slot, so that the others wait together
+    held, _ = slow.take()
+    for n in "12":
+        assert client.ask("ENQUEUE", n * 16, f"aa0{n}", "c=order,d=16000,dest=1", b"hello") == "+OK"
+    assert hand_in(client, "aa03", "3" * 16) == "+OK"
+    held.answer(200)
+    line, (first, _, body) = server.take()
+    assert first.startswith("POST /v1/messages:batch")
+    assert {one["id"]: one.get("key") for one in json.loads(body)} == {"aa01": None, "aa02": None, "aa03": "3" * 16}
+    line.answer(200, json.dumps([{"id": f"aa0{n}", "state": "done"} for n in "123"]).encode())
+
+
 def test_a_key_that_cannot_be_one_is_refused(start):
     server = Backend("s1")
     client = start([server], grades=KEYED).client()
