Begin nothing under an id that another process of the sender has taken on

Cause: a process knew the ids of its own open requests and of its own ends. What the other process had taken on, what was being taken up from it, and what had ended there were begun anew. Where the real message was taken up while the foreign request waited for its answer, the answer found the id on record and removed what stood under it: the real one.

Change: each process follows the others' journals, of all classes, and reads them again at each hand-in; an id that stands there, in what is being taken up, or that ended there is answered as known. Of two that take one id on at the same moment one sees the other's record, for each looks after its own stands, and gives way with BUSY. What is taken up displaces a request of its id that waits for its answer, before the turn of its key is told. What was handed over is remembered. It holds since records stand before the looks.

--- a/linkdock/sender/ends.py
+++ b/linkdock/sender/ends.py
@@ -24,6 +24,12 @@
         """Whether it has ended already. Danger: a second message under its id, at whatever time."""
         return request in self._over
 
+    def remember(self, request: str) -> None:
+        """It has ended, here or in another process of this sender, or is that one's from now on."""
+        if len(self._over) >= MOST_REMEMBERED:
+            del self._over[next(iter(self._over))]
+        self._over[request] = None
+
     def finish(self, request: str, how: str, notice: dict | None = None, due: float = inf) -> None:
         """The one place where a taken request ends: with a notice that is owed, or with nothing.
 
@@ -40,9 +46,7 @@
             # ends before ours by as much as it waited, or after the time of one that shared its call. It delivers
             # nothing; a notice about what is over does no harm.
             notice = {"id": request, "status": "undeliverable"}
-        if len(self._over) >= MOST_REMEMBERED:
-            del self._over[next(iter(self._over))]
-        self._over[request] = None
+        self.remember(request)
         if b.figures is not None:
             b.figures.over(known.cls, ENDS.get(how, "faulted"))
         if b.undeliverable is not None and request in b.undeliverable.again:
--- a/linkdock/sender/intake.py
+++ b/linkdock/sender/intake.py
@@ -21,9 +21,12 @@
 class Intake:
     """Owner of the requests whose clients have not been answered."""
 
-    def __init__(self, context: SenderContext, ends: Ends) -> None:
-        """`ends` remembers which requests are over."""
-        self._context, self._ends = context, ends
+    def __init__(self, context: SenderContext, ends: Ends, held_by_others: Callable[[str], bool]) -> None:
+        """`ends` remembers which requests are over.
+
+        `held_by_others` says whether another process of this sender has taken an id on.
+        """
+        self._context, self._ends, self._held_by_others = context, ends, held_by_others
         self._unanswered: dict[str, Request] = {}
         self.spread: Callable[[float], float] | None = None  # of times to come back, where the gate is on
         self.serving_mode: ServingMode | None = None  # whether clients are taken, where there are operators
@@ -79,7 +82,7 @@
         known = self._context.requests.get(request.id)
         if known is not None and known.answer is not None:
             raise Refused("this id is being handed in already")
-        if known is not None or self._ends.remembered(request.id):
+        if known is not None or request.id in self._context.journal.kept or self._belongs_to_another(request.id):
             # The client came again over a new connection: what is owed is owed once. Danger: or another
             # client uses the id, and its message would go out under it once the first is over.
             self._tell(request, Taken(known=True))
@@ -114,6 +117,23 @@
             )
         )
 
+    def _belongs_to_another(self, request: str) -> bool:
+        """Whether the id is that of a message that has ended, or that another process of this sender has taken on."""
+        return self._ends.remembered(request) or self._held_by_others(request)
+
+    def give_way(self, request_id: str) -> None:
+        """The id is that of a message which another process took on: whoever hands one in under it here is denied."""
+        request = self._unanswered.pop(request_id, None)
+        if request is not None:
+            self._undo(request)
+            self._tell(request, Busy(0.0))
+
+    def _undo(self, request: Request) -> None:
+        """Begin nothing with a request that was reported to the decisions."""
+        self._context.requests.remove(request.id)
+        self._context.facade.report(Withdraw(request.id))
+        self._context.facade.report(Settled(request.id))
+
     def _no_room(self, destination: int) -> Busy:
         """Turned away for want of room here, whatever the destination could do."""
         wait = self._context.facade.advice(destination)
@@ -151,10 +171,13 @@
             taken_at=request.taken_at,
         )
         if not self._context.journal.take(kept):
-            self._context.requests.remove(request.id)
-            self._context.facade.report(Withdraw(request.id))
-            self._context.facade.report(Settled(request.id))
+            self._undo(request)
             self._tell(request, self._no_room(request.destination))
+        elif self._belongs_to_another(request.id):
+            # Each process looks once its own record stands: of two that take an id on, one at least sees the other.
+            self._context.journal.end(request.id)
+            self._undo(request)
+            self._tell(request, Busy(0.0))
         elif not self._tell(request, Taken()):
             # Its client left unanswered and may hand it in again: nothing is owed, and nothing may be sent.
             if self._context.figures is not None:
--- a/linkdock/sender/recovery.py
+++ b/linkdock/sender/recovery.py
@@ -183,6 +183,7 @@
             return False
         for request in batch:
             b.requests.remove(request)
+            self._ends.remember(request)
             b.facade.report(Withdraw(request))
         if b.figures is not None:
             b.figures.came -= len(batch)  # the other counts them
--- a/linkdock/sender/sender.py
+++ b/linkdock/sender/sender.py
@@ -55,6 +55,9 @@
     def hand_over(self, requests: list[str]) -> bool:
         """Leave these to the one that takes clients; whether they are its from now on."""
 
+    def holds(self, request: str) -> bool:
+        """Whether another process has taken this id on."""
+
 
 class Sender:
     """Between fronts, decisions and calls: it owns the open requests and runs the decisions' ticks."""
@@ -63,7 +66,7 @@
         self._context, self._spawn = context, spawn
         self._ends = Ends(context)
         self._recovery = Recovery(context, self._ends)
-        self.intake = Intake(context, self._ends)
+        self.intake = Intake(context, self._ends, self._held_by_others)
         self._calls: dict[tuple[str, int], Call] = {}
         self._unsafe_until: float | None = None  # set while stopping
         self._left = 0  # requests left for the next life
@@ -79,6 +82,9 @@
         """A front hands in a request (see `Intake.ask`). Raises Refused."""
         self.intake.ask(cls, destination, left, request, again, held, early)
 
+    def _held_by_others(self, request: str) -> bool:
+        return self.beside is not None and self.beside.holds(request)
+
     def overloaded(self) -> bool:
         """Whether a message would be denied for want of room, whatever it is."""
         return self._context.requests.full() or self._context.journal.full()
@@ -134,6 +140,8 @@
 
     def take_up(self, left: list[Kept]) -> None:
         """Take up what is owed by the journal, and by nobody else any more."""
+        for kept in left:
+            self.intake.give_way(kept.id)
         self._recovery.take_up(left)
 
     def resend(self, message: Message) -> bool:
@@ -149,12 +157,14 @@
         return self._recovery.hand_over(lambda request: request in out or request in self.intake, self.beside.hand_over)
 
     def held_elsewhere(self, changes: KeyChanges) -> None:
-        """What other processes of this sender hold of ordered keys, and what of that has ended."""
+        """What other processes of this sender hold of ordered keys, and what has ended there."""
         for kept in changes.held:
+            self.intake.give_way(kept.id)
             with suppress(Refused):  # its class went in no order when it was taken
                 if key := self._context.key_on_record(kept):
                     self._context.facade.report(KeyHeld(kept.id, key, kept.taken_at))
         for request in changes.ended:
+            self._ends.remember(request)
             self._context.facade.report(Settled(request))
 
     def confirmed(self, request: str) -> None:
--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -132,8 +132,7 @@
                 else:
                     self._tell_again()
         self._others = {number: self._others[number] for number in alive}
-        if self._ordered:
-            self._journals.follow(alive)
+        self._journals.follow(alive)
         older = any(number < self._succession.number for number in alive)
         self.journal.hold_at_most(*(YOUNGER_PARTS if older else ELDER_PARTS if alive else ALONE_PARTS))
 
@@ -206,7 +205,7 @@
 
     def beat(self) -> None:
         """Once a tick, before the decisions' pass."""
-        if self._ordered and not self._handed and self._numbers_changed():
+        if not self._handed and self._numbers_changed():
             self._look()  # a process that has just begun may have taken what goes before the messages here
         was_taking_up = self._took_slice or self.taking_up()
         if not self._took_slice:
@@ -214,8 +213,7 @@
         self._took_slice = False
         # Also alone: who comes reads it before this process has seen that somebody came.
         self._board.figures(notes.Figures(self._sender.calls_out(), self._sender.open() + self._pending(), self._state))
-        if len(self._journals):
-            self._follow_keys()
+        self._follow_journals()
         if not self._others and not was_taking_up:
             return  # all of the room is this process's already
         calls = opened = 0
@@ -237,11 +235,16 @@
         except OSError:
             return False
 
-    def _follow_keys(self) -> None:
+    def _follow_journals(self) -> None:
         """Before the decisions' pass: what other processes took on earlier must be known to it."""
         changes = self._journals.poll(self.journal.kept)
-        self.journal.seen(kept.taken_at for kept in changes.held)
-        self._sender.held_elsewhere(changes)
+        if changes.held or changes.ended:
+            self.journal.seen(kept.taken_at for kept in changes.held)
+            self._sender.held_elsewhere(changes)
+
+    def holds(self, request: str) -> bool:
+        """Whether another process of this sender, one that has ended among them, has taken this id on."""
+        return self._journals.holds(request, self.journal.kept) or any(one.found(request) for one in self._take_ups)
 
     def _hear(self, number: int, reader: Reader) -> None:
         """Take in what another process has told, and tell on what came from an older one.
--- a/linkdock/service/take_up.py
+++ b/linkdock/service/take_up.py
@@ -47,6 +47,7 @@
         self.numbers = frozenset(one.number for one in left)  # of processes whose files are not removed yet
         self.owned: list[Kept] = []  # what was owed and is on record here
         self.pending = 0  # messages found that the sender does not have yet
+        self._fresh: dict[str, Kept] = {}  # found, and not on record here before
         self._room, self._until = SLICE, 0.0  # of the slice under way
         self._slices = self._run()
 
@@ -55,6 +56,10 @@
         self._room, self._until = SLICE, self._clock() + SLICE_SECONDS
         return next(self._slices, False)
 
+    def found(self, request: str) -> bool:
+        """Whether it is among what was left, as far as that is read."""
+        return request in self._fresh
+
     def close(self) -> None:
         """Leave what is not on record here as it is, for whoever looks next."""
         self._slices.close()
@@ -62,12 +67,11 @@
 
     def _run(self) -> Iterator[bool]:
         """Pauses, by a yield of True, wherever a slice is over."""
-        fresh: dict[str, Kept] = {}
         try:
-            yield from self._read(fresh)
+            yield from self._read()
             records: dict[str, bytes] = {}
-            yield from self._make_records(fresh, records)
-            taken = self._journal.adopt(list(fresh.values()), records)
+            yield from self._make_records(records)
+            taken = self._journal.adopt(list(self._fresh.values()), records)
         except (OSError, ValueError, TypeError, KeyError) as bad:
             log.error("what an ended process left cannot be read: %s", bad)
             taken = False
@@ -75,11 +79,11 @@
             self.pending = 0
             self._release()
             return
-        self.owned = list(fresh.values())
+        self.owned = list(self._fresh.values())
         self._remove()
         yield from self._give()
 
-    def _read(self, fresh: dict[str, Kept]) -> Iterator[bool]:
+    def _read(self) -> Iterator[bool]:
         for one in self._left:
             replay = Replay.of(one.journal)
             over = False
@@ -90,11 +94,11 @@
                 yield from self._spend(read)
             for name, kept in replay.kept.items():
                 if name not in self._journal.kept:
-                    fresh.setdefault(name, kept)
-            self.pending = len(fresh)
+                    self._fresh.setdefault(name, kept)
+            self.pending = len(self._fresh)
 
-    def _make_records(self, fresh: dict[str, Kept], records: dict[str, bytes]) -> Iterator[bool]:
-        found = iter(fresh.values())
+    def _make_records(self, records: dict[str, bytes]) -> Iterator[bool]:
+        found = iter(self._fresh.values())
         while part := list(islice(found, self._part())):
             records.update(self._journal.records_of(part))
             self._taker.announce(part)
--- a/linkdock/state/journal_reader.py
+++ b/linkdock/state/journal_reader.py
@@ -1,8 +1,9 @@
-"""What the other processes of this sender hold of ordered keys, read from their journals.
+"""What the other processes of this sender hold, read from their journals.
 
-A message keeps its key's turn while its record stands in a journal, whichever process owns that journal. A process
-puts a message on record before it answers the client, and a client hands in the next message of a key only after that
-answer. So whoever reads the other journals in the tick in which it dispatches has seen all that was taken earlier.
+An id belongs to the message whose record stands in a journal, whichever process owns that journal, and a message of an
+ordered class keeps its key's turn as long. A process puts a message on record before it answers the client, and a
+client hands in the next message of a key only after that answer. So whoever reads the other journals in the tick in
+which it dispatches has seen all that was taken earlier.
 """
 
 from __future__ import annotations
@@ -20,7 +21,8 @@
 
 @dataclass(slots=True)
 class KeyChanges:
-    """What has changed since the last poll: messages that another process holds, and those that have ended."""
+    """What has changed since the last poll: messages of ordered classes that another process holds, and the ids of all
+    that have ended."""
 
     held: list[Kept] = field(default_factory=list)
     ended: list[str] = field(default_factory=list)
@@ -30,9 +32,9 @@
     """Follows the journal of one other process while that process writes it."""
 
     def __init__(self, path: Path, is_ordered: Callable[[str], bool]) -> None:
-        """`is_ordered` says of a class's name whether its messages go in order; of others nothing is kept."""
+        """`is_ordered` says of a class's name whether its messages go in order; of others the ids are told apart."""
         self.path = path
-        self.open: dict[str, Kept] = {}  # messages of ordered classes that have not ended, by id
+        self.open: dict[str, Kept] = {}  # messages that have not ended, by id, without their bodies
         self._is_ordered = is_ordered
         self._moved: set[str] = set()  # of these, what was handed to another journal, where its end will stand
         self._file: int | None = None
@@ -52,12 +54,13 @@
         # A rewritten journal holds no ends: what it leaves out has ended.
         now_open = {} if rewritten else dict(self.open)
         moved = set(self._moved)
-        size = self._replay(data, now_open, moved)
+        ended: list[str] = []
+        size = self._replay(data, now_open, moved, ended)
         if size is None:
             self._inode = 0  # the next poll reads the whole file
             return KeyChanges()
         self._offset += size
-        return self._adopt(now_open, moved)
+        return self._adopt(now_open, moved, ended)
 
     def forget(self, request: str) -> None:
         """The message has ended in another journal."""
@@ -81,7 +84,7 @@
         size = os.fstat(self._file).st_size
         return os.pread(self._file, size - self._offset, self._offset) if size > self._offset else b""
 
-    def _replay(self, data: bytes, now_open: dict[str, Kept], moved: set[str]) -> int | None:
+    def _replay(self, data: bytes, now_open: dict[str, Kept], moved: set[str], ended: list[str]) -> int | None:
         """Apply whole records; how many bytes they take, or None where one cannot be read yet."""
         size = 0
         for end, kind, text, _ in records(data):
@@ -89,25 +92,33 @@
                 self._unreadable += 1
                 return None
             size = end
+            if kind not in (TAKE, END, MOVED):
+                continue
             try:
-                self._take_in(kind, json.loads(text) if text else {}, now_open, moved)
+                self._take_in(kind, json.loads(text), now_open, moved, ended)
             except (ValueError, TypeError, KeyError, AttributeError, RecursionError):
                 continue  # its owner passes over it as well
         self._unreadable = 0
         return size
 
-    def _take_in(self, kind: bytes, head: dict, now_open: dict[str, Kept], moved: set[str]) -> None:
+    def _take_in(self, kind: bytes, head: dict, now_open: dict[str, Kept], moved: set[str], ended: list[str]) -> None:
         if kind == MOVED:
             moved.update(request for request in head["ids"] if request in now_open or request in self.open)
-        elif kind == END or kind == TAKE and self._is_ordered(head["cls"]):
-            apply(now_open, kind, head, b"")
+            return
+        apply(now_open, kind, head, b"")
+        if kind == END:
+            ended.append(head["id"])
 
-    def _adopt(self, now_open: dict[str, Kept], moved: set[str]) -> KeyChanges:
+    def _adopt(self, now_open: dict[str, Kept], moved: set[str], ended: list[str]) -> KeyChanges:
         for request in moved & self.open.keys():
             now_open.setdefault(request, self.open[request])
+        left_out = [request for request in self.open if request not in now_open]
+        began_and_ended = [request for request in ended if request not in self.open and request not in now_open]
         changes = KeyChanges(
-            held=[kept for request, kept in now_open.items() if request not in self.open],
-            ended=[request for request in self.open if request not in now_open],
+            held=[
+                kept for request, kept in now_open.items() if request not in self.open and self._is_ordered(kept.cls)
+            ],
+            ended=left_out + began_and_ended,
         )
         self.open = now_open
         self._moved = moved & now_open.keys()
@@ -123,6 +134,7 @@
         self._is_ordered = is_ordered
         self._alive: set[int] = set()
         self._readers: dict[int, JournalReader] = {}
+        self._changes = KeyChanges()  # read, and not told by `poll` yet
 
     def __len__(self) -> int:
         """How many journals are followed."""
@@ -136,7 +148,18 @@
 
     def poll(self, own: Container[str]) -> KeyChanges:
         """What has changed in all of them. `own`: the ids on record in this process's journal, which tell of them."""
-        changes = KeyChanges()
+        self._read(own)
+        changes, self._changes = self._changes, KeyChanges()
+        changes.held = [kept for kept in changes.held if kept.id not in own]
+        return changes
+
+    def holds(self, request: str, own: Container[str]) -> bool:
+        """Whether the id stands in one of them by now, or ended there since the last poll. `own` as in `poll`."""
+        self._read(own)
+        return request in self._changes.ended or any(request in reader.open for reader in self._readers.values())
+
+    def _read(self, own: Container[str]) -> None:
+        changes = self._changes
         gone = []
         for number, reader in self._readers.items():
             try:
@@ -147,12 +170,11 @@
                 continue
             except OSError:  # no descriptor is free, for one: read at a later poll
                 continue
-            changes.held += [kept for kept in found.held if kept.id not in own]
+            changes.held += found.held
             for request in found.ended:
                 self._ended(request, own, changes)
         for number in gone:  # all others have been read: what was taken up from it stands there
             self._drop(number, own, changes)
-        return changes
 
     def _ended(self, request: str, own: Container[str], changes: KeyChanges) -> None:
         for reader in self._readers.values():
