Remember over a restart which ids have ended

Cause: as at the other process of an upgrade, an id that this sender has had was looked for in one memory alone. A restart ended what may have run without remembering it, and knew nothing of what the earlier life had delivered.

Evidence: three stories of the real program, in each of which the server got a second call of the order.

Change: what a restart ends by a notice is remembered, and every id whose end stands in the journals that it reads. The file says so already, so that nothing changes on disk.

Test: tests/test_ids_of_other_processes.py, "An earlier life".

--- a/linkdock/sender/recovery.py
+++ b/linkdock/sender/recovery.py
@@ -48,6 +48,7 @@
                         b.observer.over(kept.id, "withdrawn", kept.until - unix)
                 continue
             if kept.notice is not None:
+                self._ends.remember(kept.id)
                 self._keep_turn(kept)
                 # What is in the store already stays as it is there; a kill may have come before.
                 self._ends.keep(kept.id, kept.notice, False)
@@ -63,6 +64,7 @@
                     if b.observer is not None:
                         b.observer.over(kept.id, "undeliverable", kept.until - unix)
                     continue
+                self._ends.remember(kept.id)
                 self._keep_turn(kept)
                 self._ends.owe_notice(kept.id, {"id": kept.id, "status": "undeliverable"}, False)
                 if b.figures is not None:
--- a/linkdock/sender/sender.py
+++ b/linkdock/sender/sender.py
@@ -135,7 +135,10 @@
     # --- From life to life.
 
     def restore(self) -> None:
-        """Take up what an earlier life of this sender took on."""
+        """Take up what an earlier life of this sender took on; what ended in it is remembered."""
+        for request in self._context.journal.ended_before:
+            self._ends.remember(request)
+        self._context.journal.ended_before.clear()
         self.take_up(list(self._context.journal.kept.values()))
 
     def take_up(self, left: list[Kept]) -> None:
--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -143,6 +143,7 @@
         whole = TakeUp(self.journal, left, Taker(), self._clock)
         while whole.advance():
             pass
+        self.journal.ended_before += whole.ended
         return whole.owned
 
     def _go_on_taking_up(self) -> None:
--- a/linkdock/service/take_up.py
+++ b/linkdock/service/take_up.py
@@ -46,6 +46,7 @@
         self._journal, self._left, self._taker, self._clock = journal, left, taker, clock
         self.numbers = frozenset(one.number for one in left)  # of processes whose files are not removed yet
         self.owned: list[Kept] = []  # what was owed and is on record here
+        self.ended: list[str] = []  # requests whose end is on record there
         self.pending = 0  # messages found that the sender does not have yet
         self._fresh: dict[str, Kept] = {}  # found, and not on record here before
         self._room, self._until = SLICE, 0.0  # of the slice under way
@@ -92,6 +93,7 @@
                 read = replay.advance(most)
                 over = read < most
                 yield from self._spend(read)
+            self.ended += replay.ended
             for name, kept in replay.kept.items():
                 if name not in self._journal.kept:
                     self._fresh.setdefault(name, kept)
--- a/linkdock/state/journal.py
+++ b/linkdock/state/journal.py
@@ -41,6 +41,7 @@
         self._disk_bytes = disk_bytes
         self.hold_at_most(FILE_PART, LIVE_PART)
         self.kept: dict[str, Kept] = {}
+        self.ended_before: list[str] = []  # requests that ended in an earlier life, as far as the file still says
         self.on_end: Callable[[str], None] = lambda request: None  # called once a record has ended here
         self._moved = b""  # what says which messages another journal owes, for who reads this one
         self._latest = EARLIEST  # the last stamp that is known here
@@ -55,7 +56,8 @@
 
     def _load(self) -> int:
         data = self._path.read_bytes()
-        self.kept, at = replay(self._path, data)
+        found = replay(self._path, data)
+        self.kept, self.ended_before, at = found.kept, found.ended, found.end
         self._live = sum(kept.size() for kept in self.kept.values())
         self.seen(kept.taken_at for kept in self.kept.values())
         if at < len(data):
--- a/linkdock/state/journal_records.py
+++ b/linkdock/state/journal_records.py
@@ -86,6 +86,7 @@
     def __init__(self, path: Path, data: bytes) -> None:
         """`data` is what stands in the file at `path`."""
         self.kept: dict[str, Kept] = {}
+        self.ended: list[str] = []  # requests whose end stands there
         self.end = 0  # of the last whole record
         self._path, self._records = path, records(data)
         self._spoilt, self._why = 0, ""
@@ -118,6 +119,8 @@
             head = json.loads(text)
             if kind != MOVED:
                 apply(self.kept, kind, head, body)
+                if kind == END:
+                    self.ended.append(head["id"])
             elif not (self._path.parent / head["in"]).exists():  # else the kill came before its file was in its place
                 for request in head["ids"]:
                     self.kept.pop(request, None)
@@ -128,11 +131,11 @@
                 one.doubt.add(one.used)
 
 
-def replay(path: Path, data: bytes) -> tuple[dict[str, Kept], int]:
-    """What a journal's records come to, and where the last whole one ends."""
+def replay(path: Path, data: bytes) -> Replay:
+    """All of a journal's records."""
     whole = Replay(path, data)
     whole.advance()
-    return whole.kept, whole.end
+    return whole
 
 
 def _whole(head: dict, body: bytes) -> Kept:
--- a/tests/test_ids_of_other_processes.py
+++ b/tests/test_ids_of_other_processes.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 import pytest
-from peers import PATIENCE, Backend
+from peers import PATIENCE, Backend, settled
 from test_races_repeats import Two
 
 from linkdock.interface import Effect
@@ -233,3 +233,40 @@
             line, (_, headers, body) = server.take()
     assert sorted(ran) == names and server.quiet()
     assert both.discovery.notices.empty()
+
+
+# --- An earlier life.
+
+
+def test_an_order_that_a_restart_ended_by_a_notice_is_not_run_again_under_its_id(start):
+    # It was ended without being remembered, and a bad client that went on using its id had it run a second time.
+    server = Backend("s1")
+    program = start([server])
+    assert program.client().enqueue("aa01", cls="order", d=16000) == "+OK"
+    server.take()
+    program.kill()
+    program.start()
+    assert program.discovery.notice()["id"] == "aa01"
+    settled(program.client())  # the notice is confirmed, and nothing is on record
+    program.client().enqueue("aa01", cls="order", d=16000, body=FOREIGN)
+    assert server.quiet(1.0)
+
+
+@pytest.mark.parametrize("numbered", [False, True])
+def test_an_order_that_ended_before_a_restart_is_not_run_again_under_its_id(tmp_path, start, pair, numbered):
+    # A new life knew nothing of what the last one had delivered.
+    server = Backend("s1")
+    both = pair([server]) if numbered else None
+    program = both.start() if numbered else start([server])
+    client = both.client() if numbered else program.client()
+    assert client.enqueue("aa01", cls="order", d=16000) == "+OK"
+    line, _ = server.take()
+    line.answer(200, Connection="close")
+    settled(client)
+    program.kill()
+    again = both.start() if numbered else program
+    if not numbered:
+        again.start()
+    foreign = both.client() if numbered else again.client()
+    assert foreign.enqueue("aa01", cls="order", d=16000, body=FOREIGN) == "+OK"
+    assert server.quiet(1.0)
