Take no copy of an answer that crosses the next call for its answer

Cause: a connection rests 10 ms after an answer and is looked at once more. A copy on its way at that moment was read as the answer to the new call, and the connection stayed one answer behind. The last look also came before the messages were put on record.

Change: an answer that is the same as the last on its connection, and of which it is not known that it came later than 2.5 ms after the call's last byte, is a spoilt one: it may have run, and the connection serves no further. The connection is looked at then, since a process that was held up cannot tell by its clock. Servers that answer within 10 ms are known (connections/first_bytes.py) and believed. The last look comes behind the records. A copy is written while its server has no call, so that what comes after that silence is none.

Tests: tests/test_copies_of_answers.py.

--- a/linkdock/connections/pool.py
+++ b/linkdock/connections/pool.py
@@ -27,7 +27,19 @@
 class Connection:
     """One connection to a backend server, owned by the pool while idle and by one call while in use."""
 
-    __slots__ = ("server", "kind", "dial", "stream", "timer", "first", "rested_at", "idle_since", "age", "uses")
+    __slots__ = (
+        "server",
+        "kind",
+        "dial",
+        "stream",
+        "timer",
+        "first",
+        "rested_at",
+        "idle_since",
+        "age",
+        "uses",
+        "last_answer",
+    )
 
     def __init__(self, server: str, kind: int, dial: tuple[str, int], stream: IOStream) -> None:
         """A connection over `stream` that has just been opened to `server` at the address `dial`."""
@@ -36,6 +48,12 @@
         self.timer: Timer | None = None
         self.first = None  # the read that waits for the next answer
         self.rested_at = 0.0  # on the wheel's clock: until then more may come behind the last answer
+        self.last_answer: int | None = None  # the hash of the last whole answer, by which a copy of it is known
+
+    def repeats(self, status: int, headers: dict[str, str], body: bytes) -> bool:
+        """Whether an answer is the same as the last one that came on it; it is the last from now on."""
+        before, self.last_answer = self.last_answer, hash((status, tuple(headers.items()), body))
+        return before == self.last_answer
 
 
 def new_stream() -> IOStream:
--- a/linkdock/protocol/backend.py
+++ b/linkdock/protocol/backend.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import TYPE_CHECKING, Protocol
 
+from ..connections.first_bytes import FirstBytes
 from ..connections.pool import ConnectionPool
 from ..facade import Item
 from ..state.requests import Request
@@ -74,6 +75,7 @@
         """`connect_timeout` in seconds; `fields` are the names that a load report gives its figures."""
         self.owner, self.table, self.pool, self.wheel, self.clock = owner, table, pool, wheel, clock
         self.connect_timeout, self.fields = connect_timeout, fields
+        self.first_bytes = FirstBytes()
         self.kept: KeptPool | None = None  # the pool, where the keeper is on
         self.observer: Observer | None = None  # of the records, where they are on
         self.figures: Figures | None = None  # where there are operators
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -9,6 +9,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from ..connections.first_bytes import CROSSING
 from ..connections.pool import BUFFER, Connection, PoolFull
 from ..errors import log_line
 from ..facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, TURNED_AWAY
@@ -46,10 +47,14 @@
         self._carried: list[str] = []  # requests of ordered classes whose first byte went out
         self._answered = False  # whether the whole answer was read
         self._spoilt = False  # whether the answer began and did not end in time
+        self._read: Future | None = None  # the read that waits for the answer
+        self._silent_after = False  # whether nothing had come when a copy of an earlier answer would have
+        self._too_soon = False  # whether what came may have been written before the server had the call
         self._connection: Connection | None = None
         self._asked: Asked | None = None  # the wish for one, where the keeper is on
         self._short = False  # whether it waits for a connection that this process has no room for
         self._written_at, self._parser = 0.0, http.AnswerParser(MOST_BODY)
+        self._last_byte_at = 0.0  # when all of it was written
         # Danger: an answer to several after the time of one of them. The platform takes a shared call's time from one
         # message, and a later answer delivers none of them, whatever it says of the others.
         self._due = min((r.until for r in requests), default=inf)
@@ -74,7 +79,7 @@
     @property
     def _told(self) -> bool:
         """Whether a first line with 200 has come to a call with one message: it is delivered, whatever follows."""
-        return self._single and self._parser.status == 200
+        return self._single and self._parser.status == 200 and not self._too_soon
 
     # --- Ends.
 
@@ -191,6 +196,9 @@
                 size += room
         if not self.items:
             return True
+        if self._connection.first is not None and not silent(stream, self._connection.first):
+            self._end_all(NOT_SENT)  # something came while this was put on record, and would pass for its answer
+            return False
         self._carried = [request for request in self.items if self._requests[request].ordered]
         for request in self._carried:
             backend.owner.call_began(request)
@@ -198,6 +206,7 @@
         self._written_at, count = backend.clock(), len(self.items)
         self._writing = stream.write(self._encode())
         await self._writing
+        self._last_byte_at = backend.clock()
         if backend.figures is not None:
             backend.figures.relayed += count
         if backend.observer is not None:
@@ -276,19 +285,20 @@
         """
         parser, connection = self._parser, self._connection
         head, body, timer = None, b"", None
+        look = None if self._fresh else self._backend.wheel.after(CROSSING, self._look)
         try:
             while True:
-                read = connection.first or connection.stream.read_bytes(BUFFER, partial=True)
+                self._read = connection.first or connection.stream.read_bytes(BUFFER, partial=True)
                 connection.first = None
                 try:
-                    data = await read
+                    data = await self._read
                 except StreamClosedError:
                     parts = parser.eof()
                     if not parts:
                         raise
                 else:
-                    if not parser.read and self._backend.kept is not None:
-                        self._backend.kept.used(connection, True, self._backend.clock() - self._written_at)
+                    if not parser.read:
+                        self._began_to_answer()
                     parts = parser.feed(data)
                 for part in parts:
                     if isinstance(part, http.Head):
@@ -296,8 +306,7 @@
                     elif isinstance(part, http.Body):
                         body += part.data
                     else:
-                        self._answered = True
-                        self._judge(head, body)
+                        self._take_answer(head, body)
                         return part.keep
                 if self._told and self.items and not self._ordered:  # else others of its key wait for all of it
                     if head is not None:
@@ -309,8 +318,31 @@
                 elif timer is None and parser.begun:
                     timer = self._backend.wheel.after(REST_OF_ANSWER, self._without_end)
         finally:
-            if timer is not None:
-                timer.cancel()
+            for one in (look, timer):
+                if one is not None:
+                    one.cancel()
+
+    def _look(self) -> None:
+        """A copy of an earlier answer that crossed the call has come by now."""
+        self._silent_after = self._read is not None and silent(self._connection.stream, self._read)
+
+    def _began_to_answer(self) -> None:
+        """The first bytes have come."""
+        backend = self._backend
+        if backend.kept is not None:
+            backend.kept.used(self._connection, True, backend.clock() - self._written_at)
+        self._too_soon = not self._fresh and not self._silent_after and backend.first_bytes.is_slow(self.server)
+        backend.first_bytes.note(self.server, backend.clock() - self._last_byte_at)
+
+    def _take_answer(self, head: http.Head, body: bytes) -> None:
+        """A whole answer has come. Raises BadAnswer where it belongs to the call before this one.
+
+        The call may run all the same, and whether it does its server will say on a connection that nobody can read.
+        """
+        if self._connection.repeats(head.status, head.headers, body) and self._too_soon:
+            raise http.BadAnswer("a second copy of the answer to the call before, sooner than an answer can come")
+        self._answered = True
+        self._judge(head, body)
 
     def _without_end(self) -> None:
         self._spoilt = True
--- /dev/null
+++ b/tests/test_copies_of_answers.py
@@ -0,0 +1,189 @@
+"""A second copy of an answer that is on its way while the next call is written: it is no answer to that call."""
+
+import asyncio
+import contextlib
+import select
+
+import pytest
+from test_races_answers import begun, pass_time, say
+from test_races_endpoints import OK, kept_pool, rig
+
+from linkdock.connections import first_bytes
+from linkdock.connections.first_bytes import LEAST_SAMPLES, SAMPLES, SLOW, FirstBytes
+from linkdock.facade import DELIVERED, ERROR, NOT_SENT, RESET, TURNED_AWAY
+
+REFUSED = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+WORK = 0.05  # seconds that the server works on a call
+OUTCOMES = {OK: DELIVERED, REFUSED: TURNED_AWAY}
+
+
+async def answered(calls, text=OK, bodies=(b"x",)):
+    """A first call, whose server answers it after its work, as some before; the server's socket."""
+    for _ in range(LEAST_SAMPLES):
+        calls.backend.first_bytes.note("s1", WORK)
+    _, run, sock = await begun(calls, *bodies)
+    await pass_time(calls, WORK)
+    await calls.loop.sock_sendall(sock, text)
+    await run
+    return sock
+
+
+async def next_call(calls, sock, *bodies):
+    """The next call on that connection, which the server has read."""
+    call, run = calls.call(*(bodies or (b"x",)))
+    assert await calls.request(sock)
+    return call, run
+
+
+@pytest.mark.parametrize("pool", ["plain", "kept"])
+@pytest.mark.parametrize("answer", [OK, REFUSED])
+def test_a_copy_that_crosses_the_next_call_is_not_the_answer_to_it(tmp_path, pool, answer):
+    # An order was held to be delivered on the 200 of the one before, or called again on its 503.
+    async def story():
+        async with rig() as r:
+            if pool == "kept":
+                kept_pool(r, tmp_path)
+            sock = await answered(r, answer)
+            _, run = await next_call(r, sock)
+            await r.loop.sock_sendall(sock, answer)
+            await run
+            assert r.desk.ends == [OUTCOMES[answer], ERROR]  # it may have run
+            assert not len(r.pool)  # and what comes on the connection from now on is no answer to anything
+            sock.close()
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("answer", [OK, REFUSED])
+def test_an_answer_like_the_one_before_counts_once_the_time_of_a_copy_is_over(answer):
+    async def story():
+        async with rig() as r:
+            sock = await answered(r, answer)
+            _, run = await next_call(r, sock)
+            await pass_time(r, WORK)
+            await r.loop.sock_sendall(sock, answer)
+            await run
+            assert r.desk.ends == [OUTCOMES[answer]] * 2 and len(r.pool) == 1
+            sock.close()
+
+    asyncio.run(story())
+
+
+def test_another_answer_than_the_one_before_counts_however_soon_it_comes():
+    async def story():
+        async with rig() as r:
+            sock = await answered(r)
+            _, run = await next_call(r, sock)
+            await r.loop.sock_sendall(sock, REFUSED)
+            await run
+            assert r.desk.ends == [DELIVERED, TURNED_AWAY] and len(r.pool) == 1
+            sock.close()
+
+    asyncio.run(story())
+
+
+def test_a_copy_that_is_read_late_by_a_process_that_was_held_up_is_none_either():
+    # By the clock it came as late as an answer; it had lain in the socket.
+    async def story():
+        async with rig() as r:
+            sock = await answered(r)
+            call, run = await next_call(r, sock)
+            await r.until(lambda: call._last_byte_at > 0)
+            sock.send(OK)
+            select.select([call._connection.stream.socket], [], [], 20)
+            r.skip += WORK  # nothing of the loop has run meanwhile
+            await run
+            assert r.desk.ends == [DELIVERED, ERROR]
+            sock.close()
+
+    asyncio.run(story())
+
+
+def test_a_copy_that_is_cut_behind_its_first_line_delivers_nothing():
+    async def story():
+        async with rig() as r:
+            sock = await answered(r)
+            call, run = await next_call(r, sock)
+            await say(r, call, sock, OK[:20])
+            assert r.desk.ends == [DELIVERED]
+            sock.close()
+            await run
+            assert r.desk.ends == [DELIVERED, RESET]
+
+    asyncio.run(story())
+
+
+def test_what_comes_while_a_call_is_put_on_record_is_found_before_its_first_byte():
+    # The last look at the connection came before the record of each message, up to 20 of them.
+    async def story():
+        async with rig() as r:
+            sock = await answered(r)
+
+            def looked():
+                sock.send(OK)
+                select.select([call._connection.stream.socket], [], [], 20)
+                return True
+
+            r.desk.looked = looked
+            call, run = r.call(b"x")
+            await run
+            assert r.desk.ends == [DELIVERED, NOT_SENT] and not len(r.pool)
+            with contextlib.suppress(ConnectionResetError):  # a close over what was not read
+                assert await r.request(sock) == b""
+            sock.close()
+
+    asyncio.run(story())
+
+
+def test_a_server_that_is_quick_by_nature_keeps_its_connection():
+    async def story():
+        async with rig() as r:
+            _, run, sock = await begun(r)
+            await r.loop.sock_sendall(sock, OK)
+            await run
+            for _ in range(5):
+                _, run = await next_call(r, sock)
+                await pass_time(r, 0.001)
+                await r.loop.sock_sendall(sock, OK)
+                await run
+            assert r.desk.ends == [DELIVERED] * 6 and len(r.pool) == 1
+            sock.close()
+
+    asyncio.run(story())
+
+
+# --- How soon servers answer.
+
+
+def known(*seconds, server="s1"):
+    found = FirstBytes()
+    for one in seconds:
+        found.note(server, one)
+    return found
+
+
+def test_a_copy_makes_no_server_quick():
+    assert known(*[WORK] * 7, 0.0003).is_slow("s1")
+
+
+def test_a_server_that_became_quick_is_believed_from_its_third_answer_on():
+    found, doubted = known(*[10.0] * SAMPLES), 0
+    while found.is_slow("s1"):
+        found.note("s1", 0.001)
+        doubted += 1
+    assert doubted == 2
+
+
+def test_a_server_is_believed_until_it_is_known_to_be_slow():
+    assert not FirstBytes().is_slow("s1")
+    assert not known(WORK, WORK).is_slow("s1") and known(WORK, WORK, WORK).is_slow("s1")
+    assert not known(SLOW / 2, SLOW / 2, WORK).is_slow("s1")
+
+
+def test_servers_are_forgotten_beyond_a_bound(monkeypatch):
+    monkeypatch.setattr(first_bytes, "MOST_SERVERS", 2)
+    found = known(*[WORK] * 3)
+    found.note("s2", WORK)
+    found.note("s1", WORK)
+    found.note("s3", WORK)
+    assert len(found) == 2 and found.is_slow("s1")
