End the use of a connection whose answer names other messages than the shared call

Cause: `Call._judge_batch` held the messages of such an answer to have maybe run, as it should, but its connection went back for further calls. It was one answer behind, and stayed so.

Change: the connection of an answer that cannot be read, or that names other messages than the call did, is closed. What it would carry next belongs to a call that is over.

Test: test_an_answer_to_other_messages_ends_the_use_of_its_connection, red before in 3 of its 4 cases ("and not 1", one connection in the pool); the fourth is an answer without an end, which held before.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -43,6 +43,7 @@
         self._writing: Future | None = None  # of its bytes, from the first on
         self._fresh = False  # whether it goes over a connection that nothing went over before
         self._single = True  # whether one answer counts for one item
+        self._named: frozenset[str] = frozenset()  # the requests of a shared call, as it was written
         self._ordered = any(r.ordered for r in requests)
         self._carried: list[str] = []  # requests of ordered classes whose first byte went out
         self._answered = False  # whether the whole answer was read
@@ -50,6 +51,7 @@
         self._read: Future | None = None  # the read that waits for the answer
         self._silent_after = False  # whether nothing had come when a copy of an earlier answer would have
         self._too_soon = False  # whether what came may have been written before the server had the call
+        self._in_step = True  # whether the answers on its connection are those to its calls
         self._connection: Connection | None = None
         self._asked: Asked | None = None  # the wish for one, where the keeper is on
         self._short = False  # whether it waits for a connection that this process has no room for
@@ -274,6 +276,7 @@
             headers["X-Trace-Id"], key = requests[0].id, requests[0].idempotency_key
             headers |= {"Idempotency-Key": key} if key else {}
             return http.request("POST", "/v1/messages", dial, headers, requests[0].body)
+        self._named = frozenset(self.items)
         headers["Content-Type"] = "application/json"
         return http.request("POST", "/v1/messages:batch", dial, headers, batches.encode(requests))
 
@@ -307,7 +310,7 @@
                         body += part.data
                     else:
                         self._take_answer(head, body)
-                        return part.keep
+                        return part.keep and self._in_step
                 if self._told and self.items and not self._ordered:  # else others of its key wait for all of it
                     if head is not None:
                         self._judge(head, body)
@@ -403,6 +406,7 @@
             # An item without a state that can be read may have run.
             log.warning("backend server %s: %s", self.server, log_line(bad))
             states = {}
+        self._in_step = states.keys() == self._named  # else it may be the answer to an earlier call
         for request in list(self.items):
             state = states.get(request)
             how = batches.OUTCOMES.get(state, ERROR)
--- a/tests/test_copies_of_answers.py
+++ b/tests/test_copies_of_answers.py
@@ -5,7 +5,7 @@
 import select
 
 import pytest
-from test_races_answers import begun, pass_time, say
+from test_races_answers import begun, pass_time, say, told
 from test_races_endpoints import OK, kept_pool, rig
 
 from linkdock.connections import first_bytes
@@ -135,6 +135,24 @@
     asyncio.run(story())
 
 
+@pytest.mark.parametrize(
+    "answer", [told(("aa77", "done"), ("aa78", "done")), told(("aa00", "done")), OK, b"HTTP/1.1 200 OK\r\n\r\n"[:-2]]
+)
+def test_an_answer_to_other_messages_ends_the_use_of_its_connection(answer):
+    # The connection stayed one answer behind, and each later call met the answer of the one before.
+    async def story():
+        async with rig() as r:
+            call, run, sock = await begun(r, b"x", b"y")
+            await pass_time(r, WORK)
+            await say(r, call, sock, answer)
+            await pass_time(r, 0.6)
+            await run
+            assert ERROR in r.desk.ends and len(r.desk.ends) == 2 and not len(r.pool)
+            sock.close()
+
+    asyncio.run(story())
+
+
 def test_a_server_that_is_quick_by_nature_keeps_its_connection():
     async def story():
         async with rig() as r:
