Split how a restart takes up each message, and name the shared context in full

Recovery.take_up decided in one function of 80 lines how each message that is left goes on: it is five named steps now, in the same order. `b` is `context` in Recovery and Ends. What a poll of the other journals brings is JournalChanges: it tells of all that have ended, not of keys alone.

--- a/linkdock/sender/ends.py
+++ b/linkdock/sender/ends.py
@@ -35,28 +35,28 @@
 
         `due` is when the time was up of the first that shared the call which delivered it.
         """
-        b = self._context
-        known = b.requests.get(request)
+        context = self._context
+        known = context.requests.get(request)
         if known is None:
             return
-        b.requests.remove(request)
-        now = b.clock()
+        context.requests.remove(request)
+        now = context.clock()
         if notice is None and now > min(known.until, due) - WAITED:
             # Danger: an answer written just after the message's time was up, which runs from its client's side and so
             # ends before ours by as much as it waited, or after the time of one that shared its call. It delivers
             # nothing; a notice about what is over does no harm.
             notice = {"id": request, "status": "undeliverable"}
         self.remember(request)
-        if b.figures is not None:
-            b.figures.over(known.cls, ENDS.get(how, "faulted"))
-        if b.undeliverable is not None and request in b.undeliverable.again:
+        if context.figures is not None:
+            context.figures.over(known.cls, ENDS.get(how, "faulted"))
+        if context.undeliverable is not None and request in context.undeliverable.again:
             self.over_again(request, how == "delivered")
         elif notice is None:
             self._end_record(request)
         else:
             self.owe_notice(request, notice, how == "delivered")
-        if b.observer is not None:
-            b.observer.over(request, how, known.until - now)
+        if context.observer is not None:
+            context.observer.over(request, how, known.until - now)
 
     def owe_notice(self, request: str, notice: dict, ran: bool) -> None:
         self._context.journal.notice(request, notice)
@@ -74,11 +74,11 @@
 
     def keep(self, request: str, notice: dict, ran: bool) -> None:
         """Into the store, where it is on, whatever could not be delivered or came too late (`ran`)."""
-        b = self._context
-        kept = b.journal.kept.get(request)
-        if b.undeliverable is not None and kept is not None:
-            cls = b.rules.classes.get(kept.cls)
-            b.undeliverable.keep(kept, notice["status"], cls is not None and b.rules.repeatable(cls), ran)
+        context = self._context
+        kept = context.journal.kept.get(request)
+        if context.undeliverable is not None and kept is not None:
+            cls = context.rules.classes.get(kept.cls)
+            context.undeliverable.keep(kept, notice["status"], cls is not None and context.rules.repeatable(cls), ran)
 
     def confirmed(self, request: str) -> None:
         """The platform has heard how a request ended."""
--- a/linkdock/sender/recovery.py
+++ b/linkdock/sender/recovery.py
@@ -32,89 +32,111 @@
 
     def take_up(self, left: Iterable[Kept]) -> None:
         """Take up what is owed by the journal, and by nobody else any more."""
-        b = self._context
-        now, unix = b.clock(), time.time()
-        longest = 2 * max(cls.deadline for cls in b.rules.settings.classes)
+        context = self._context
         for kept in left:
-            if b.observer is not None:
-                b.observer.restored(kept)
-            again = b.undeliverable is not None and kept.id in b.undeliverable.again
-            if kept.again and not again:
-                # Danger: one that was sent again, and whose outcome the store has. Only the journal's end is missing.
-                # Where the store cannot be asked it waits for a life that can.
-                if b.undeliverable is not None and b.undeliverable.readable:
-                    b.journal.end(kept.id)
-                    if b.observer is not None:
-                        b.observer.over(kept.id, "withdrawn", kept.until - unix)
-                continue
-            if kept.notice is not None:
-                self._ends.remember(kept.id)
-                self._keep_turn(kept)
-                # What is in the store already stays as it is there; a kill may have come before.
-                self._ends.keep(kept.id, kept.notice, False)
-                b.notices.post(kept.notice)
-                continue
-            cls = b.rules.classes.get(kept.cls)
-            if cls is None:
-                log.warning("%s of the class %r, which is not configured, ends undelivered", kept.id, kept.cls)
-            if cls is None or kept.doubt and not b.rules.repeatable(cls) or kept.tries >= b.rules.settings.max_attempts:
-                # It may have run and may not be repeated, or has no try left: nobody can do more, so that it ends now.
-                if again:
-                    self._ends.over_again(kept.id, False)
-                    if b.observer is not None:
-                        b.observer.over(kept.id, "undeliverable", kept.until - unix)
-                    continue
-                self._ends.remember(kept.id)
-                self._keep_turn(kept)
-                self._ends.owe_notice(kept.id, {"id": kept.id, "status": "undeliverable"}, False)
-                if b.figures is not None:
-                    b.figures.came += 1
-                    b.figures.over(cls, "faulted")
-                if b.observer is not None:
-                    b.observer.over(kept.id, "undeliverable", kept.until - unix)
-                continue
-            # A clock may have been set back: no client is given more than the front lets it ask for.
-            rest = min(max(0.0, kept.until - unix), longest)
-            request = Request(
+            if context.observer is not None:
+                context.observer.restored(kept)
+            resent = context.undeliverable is not None and kept.id in context.undeliverable.again
+            if kept.again and not resent:
+                self._end_resent(kept)
+            elif kept.notice is not None:
+                self._post_again(kept)
+            elif not self._may_go_on(kept):
+                self._end_at_once(kept, resent)
+            else:
+                self._go_on(kept)
+
+    def _end_resent(self, kept: Kept) -> None:
+        """One that was sent again from the store, which has its outcome: only the journal's end is missing.
+
+        Where the store cannot be asked it waits for a life that can.
+        """
+        context = self._context
+        if context.undeliverable is None or not context.undeliverable.readable:
+            return
+        context.journal.end(kept.id)
+        if context.observer is not None:
+            context.observer.over(kept.id, "withdrawn", kept.until - time.time())
+
+    def _post_again(self, kept: Kept) -> None:
+        """One that is over, and whose notice the platform has not confirmed."""
+        self._ends.remember(kept.id)
+        self._keep_turn(kept)
+        # What is in the store already stays as it is there; a kill may have come before.
+        self._ends.keep(kept.id, kept.notice, False)
+        self._context.notices.post(kept.notice)
+
+    def _may_go_on(self, kept: Kept) -> bool:
+        """Whether it may be dispatched: it surely has not run or may be repeated, and has a try left."""
+        rules = self._context.rules
+        cls = rules.classes.get(kept.cls)
+        if cls is None:
+            log.warning("%s of the class %r, which is not configured, ends undelivered", kept.id, kept.cls)
+            return False
+        return (not kept.doubt or rules.repeatable(cls)) and kept.tries < rules.settings.max_attempts
+
+    def _end_at_once(self, kept: Kept, resent: bool) -> None:
+        """One for which nobody can do more. `resent`: the store of undeliverable messages hears of it alone."""
+        context = self._context
+        if resent:
+            self._ends.over_again(kept.id, False)
+        else:
+            self._ends.remember(kept.id)
+            self._keep_turn(kept)
+            self._ends.owe_notice(kept.id, {"id": kept.id, "status": "undeliverable"}, False)
+            if context.figures is not None:
+                context.figures.came += 1
+                context.figures.over(context.rules.classes.get(kept.cls), "faulted")
+        if context.observer is not None:
+            context.observer.over(kept.id, "undeliverable", kept.until - time.time())
+
+    def _go_on(self, kept: Kept) -> None:
+        """One that is tried again, in the time that it has left."""
+        context = self._context
+        cls = context.rules.classes[kept.cls]
+        # A clock may have been set back: no client is given more than the front lets it ask for.
+        longest = 2 * max(one.deadline for one in context.rules.settings.classes)
+        rest = min(max(0.0, kept.until - time.time()), longest)
+        request = Request(
+            kept.id,
+            kept.key,
+            cls,
+            kept.destination,
+            context.clock() + rest,
+            kept.body,
+            tenant=kept.tenant,
+            idempotency_key=kept.idempotency_key,
+            taken_at=kept.taken_at,
+        )
+        order = self._key(kept)
+        request.ordered = order != 0
+        context.requests.add(request)
+        if context.figures is not None:
+            context.figures.came += 1
+        context.facade.report(
+            Take(
                 kept.id,
-                kept.key,
                 cls,
                 kept.destination,
-                now + rest,
-                kept.body,
-                tenant=kept.tenant,
-                idempotency_key=kept.idempotency_key,
+                rest,
+                order,
+                held=True,
+                used=kept.used,
+                tenant=context.tenant(kept.tenant),
+                tries=kept.tries,
                 taken_at=kept.taken_at,
             )
-            order = self._key(kept)
-            request.ordered = order != 0
-            b.requests.add(request)
-            if b.figures is not None:
-                b.figures.came += 1
-            b.facade.report(
-                Take(
-                    kept.id,
-                    cls,
-                    kept.destination,
-                    rest,
-                    order,
-                    held=True,
-                    used=kept.used,
-                    tenant=b.tenant(kept.tenant),
-                    tries=kept.tries,
-                    taken_at=kept.taken_at,
-                )
-            )
+        )
 
     def _keep_turn(self, kept: Kept) -> None:
         """One that ends by a notice keeps its key until that is confirmed, and the calls of its process have ended."""
-        b = self._context
+        context = self._context
         key = self._key(kept)
         if not key:
             return
-        b.facade.report(KeyHeld(kept.id, key, kept.taken_at))
+        context.facade.report(KeyHeld(kept.id, key, kept.taken_at))
         self._ends.call_began(kept.id)
-        b.after(CLOSED, lambda: self._ends.call_over(kept.id))
+        context.after(CLOSED, lambda: self._ends.call_over(kept.id))
 
     def _key(self, kept: Kept) -> int:
         try:
@@ -128,17 +150,23 @@
 
         The platform has heard its end; it hears nothing of this. Live traffic has the first half of the room.
         """
-        b = self._context
-        cls = b.rules.classes.get(message.cls)
-        busy = 2 * len(b.requests) >= b.rules.settings.max_open
+        context = self._context
+        cls = context.rules.classes.get(message.cls)
+        busy = 2 * len(context.requests) >= context.rules.settings.max_open
         # Danger: the store has no idempotency key, without which a server could not drop a repeat.
-        keyed = cls is not None and b.rules.settings.classes[cls].effect is Effect.KEYED
-        if cls is None or keyed or busy or not b.table.knows(message.destination) or b.requests.get(message.id):
+        keyed = cls is not None and context.rules.settings.classes[cls].effect is Effect.KEYED
+        if (
+            cls is None
+            or keyed
+            or busy
+            or not context.table.knows(message.destination)
+            or context.requests.get(message.id)
+        ):
             return False
-        left = b.rules.settings.classes[cls].deadline
-        request = Request(message.id, message.key, cls, message.destination, b.clock() + left, message.body)
+        left = context.rules.settings.classes[cls].deadline
+        request = Request(message.id, message.key, cls, message.destination, context.clock() + left, message.body)
         try:
-            key = b.order_key(request)
+            key = context.order_key(request)
         except Refused:
             return False
         kept = Kept(
@@ -151,15 +179,15 @@
             again=True,
             taken_at=request.taken_at,
         )
-        if not b.journal.take(kept):
+        if not context.journal.take(kept):
             return False
-        b.journal.hold(message.id)
-        if b.observer is not None:
-            b.observer.resent(kept)
-        b.requests.add(request)
-        if b.figures is not None:
-            b.figures.came += 1
-        b.facade.report(
+        context.journal.hold(message.id)
+        if context.observer is not None:
+            context.observer.resent(kept)
+        context.requests.add(request)
+        if context.figures is not None:
+            context.figures.came += 1
+        context.facade.report(
             Take(
                 message.id,
                 cls,
@@ -167,7 +195,7 @@
                 left,
                 key,
                 held=True,
-                tenant=b.tenant(""),
+                tenant=context.tenant(""),
                 taken_at=request.taken_at,
             )
         )
@@ -178,15 +206,15 @@
 
         It stays where that fails.
         """
-        b = self._context
-        waiting = [r.id for r in b.requests if r.id in b.journal.kept and not busy(r.id)]
+        context = self._context
+        waiting = [r.id for r in context.requests if r.id in context.journal.kept and not busy(r.id)]
         batch = waiting[:HAND_OVER_BATCH]
         if not batch or not give(batch):
             return False
         for request in batch:
-            b.requests.remove(request)
+            context.requests.remove(request)
             self._ends.remember(request)
-            b.facade.report(Withdraw(request))
-        if b.figures is not None:
-            b.figures.came -= len(batch)  # the other counts them
+            context.facade.report(Withdraw(request))
+        if context.figures is not None:
+            context.figures.came -= len(batch)  # the other counts them
         return len(waiting) > len(batch)
--- a/linkdock/sender/sender.py
+++ b/linkdock/sender/sender.py
@@ -38,7 +38,7 @@
 from .recovery import Recovery
 
 if TYPE_CHECKING:
-    from ..state.journal_reader import KeyChanges
+    from ..state.journal_reader import JournalChanges
     from ..undeliverable.facts import Message
 
 log = logging.getLogger(__name__)
@@ -159,7 +159,7 @@
         out = {request for request, _ in self._calls}
         return self._recovery.hand_over(lambda request: request in out or request in self.intake, self.beside.hand_over)
 
-    def held_elsewhere(self, changes: KeyChanges) -> None:
+    def held_elsewhere(self, changes: JournalChanges) -> None:
         """What other processes of this sender hold of ordered keys, and what has ended there."""
         for kept in changes.held:
             self.intake.give_way(kept.id)
--- a/linkdock/service/shift.py
+++ b/linkdock/service/shift.py
@@ -19,7 +19,7 @@
 from ..state import board as notes
 from ..state.board import Board, Fact, Reader
 from ..state.journal import Journal
-from ..state.journal_reader import KeyChanges, OtherJournals
+from ..state.journal_reader import JournalChanges, OtherJournals
 from ..state.journal_records import Kept
 from ..state.succession import Left, Succession, numbered
 from ..state.table import ServerTable
@@ -158,7 +158,7 @@
     def announce(self, found: list[Kept]) -> None:
         """These will be the sender's. Unannounced, what is handed in later of their keys would be sent before them."""
         if self._ordered and (ordered := [kept for kept in found if self._is_ordered(kept.cls)]):
-            self._sender.held_elsewhere(KeyChanges(held=ordered))
+            self._sender.held_elsewhere(JournalChanges(held=ordered))
 
     def take(self, owned: list[Kept]) -> None:
         """These are the sender's now."""
--- a/linkdock/state/journal_reader.py
+++ b/linkdock/state/journal_reader.py
@@ -20,7 +20,7 @@
 
 
 @dataclass(slots=True)
-class KeyChanges:
+class JournalChanges:
     """What has changed since the last poll: messages of ordered classes that another process holds, and the ids of all
     that have ended."""
 
@@ -42,7 +42,7 @@
         self._offset = 0
         self._unreadable = 0  # polls on end that met a record that cannot be read
 
-    def poll(self) -> KeyChanges:
+    def poll(self) -> JournalChanges:
         """What was written since the last poll. Raises OSError where the file is not there or cannot be read."""
         inode = os.stat(self.path).st_ino
         rewritten = inode != self._inode
@@ -50,7 +50,7 @@
             self._reopen(inode)
         data = self._unread()
         if not data and not rewritten:
-            return KeyChanges()
+            return JournalChanges()
         # A rewritten journal holds no ends: what it leaves out has ended.
         now_open = {} if rewritten else dict(self.open)
         moved = set(self._moved)
@@ -58,7 +58,7 @@
         size = self._replay(data, now_open, moved, ended)
         if size is None:
             self._inode = 0  # the next poll reads the whole file
-            return KeyChanges()
+            return JournalChanges()
         self._offset += size
         return self._adopt(now_open, moved, ended)
 
@@ -109,12 +109,12 @@
         if kind == END:
             ended.append(head["id"])
 
-    def _adopt(self, now_open: dict[str, Kept], moved: set[str], ended: list[str]) -> KeyChanges:
+    def _adopt(self, now_open: dict[str, Kept], moved: set[str], ended: list[str]) -> JournalChanges:
         for request in moved & self.open.keys():
             now_open.setdefault(request, self.open[request])
         left_out = [request for request in self.open if request not in now_open]
         began_and_ended = [request for request in ended if request not in self.open and request not in now_open]
-        changes = KeyChanges(
+        changes = JournalChanges(
             held=[
                 kept for request, kept in now_open.items() if request not in self.open and self._is_ordered(kept.cls)
             ],
@@ -134,7 +134,7 @@
         self._is_ordered = is_ordered
         self._alive: set[int] = set()
         self._readers: dict[int, JournalReader] = {}
-        self._changes = KeyChanges()  # read, and not told by `poll` yet
+        self._changes = JournalChanges()  # read, and not told by `poll` yet
 
     def __len__(self) -> int:
         """How many journals are followed."""
@@ -146,10 +146,10 @@
         for number in self._alive - self._readers.keys():
             self._readers[number] = JournalReader(self._path_of(number), self._is_ordered)
 
-    def poll(self, own: Container[str]) -> KeyChanges:
+    def poll(self, own: Container[str]) -> JournalChanges:
         """What has changed in all of them. `own`: the ids on record in this process's journal, which tell of them."""
         self._read(own)
-        changes, self._changes = self._changes, KeyChanges()
+        changes, self._changes = self._changes, JournalChanges()
         changes.held = [kept for kept in changes.held if kept.id not in own]
         return changes
 
@@ -176,13 +176,13 @@
         for number in gone:  # all others have been read: what was taken up from it stands there
             self._drop(number, own, changes)
 
-    def _ended(self, request: str, own: Container[str], changes: KeyChanges) -> None:
+    def _ended(self, request: str, own: Container[str], changes: JournalChanges) -> None:
         for reader in self._readers.values():
             reader.forget(request)
         if request not in own:
             changes.ended.append(request)
 
-    def _drop(self, number: int, own: Container[str], changes: KeyChanges) -> None:
+    def _drop(self, number: int, own: Container[str], changes: JournalChanges) -> None:
         """Its journal has been taken up. What nobody holds now has ended meanwhile."""
         reader = self._readers.pop(number)
         reader.close()
--- a/tests/test_ids_of_other_processes.py
+++ b/tests/test_ids_of_other_processes.py
@@ -10,7 +10,7 @@
 from linkdock.interface import Effect
 from linkdock.service.take_up import Taker, TakeUp
 from linkdock.state.journal import Journal
-from linkdock.state.journal_reader import KeyChanges, OtherJournals
+from linkdock.state.journal_reader import JournalChanges, OtherJournals
 from linkdock.state.journal_records import Kept
 from linkdock.state.requests import Busy, Request, Taken
 from linkdock.state.succession import Left
@@ -116,7 +116,7 @@
 
 def test_an_id_that_has_ended_at_another_process_is_not_begun_here(unordered):
     # An order was run a second time, with a bad client's bytes, right after the other process had delivered it.
-    unordered.sender.held_elsewhere(KeyChanges(ended=["aa01"]))
+    unordered.sender.held_elsewhere(JournalChanges(ended=["aa01"]))
     assert unordered.ask() == [Taken(known=True)]
     assert not unordered.passes()
 
@@ -124,11 +124,11 @@
 def test_a_request_of_an_id_that_is_found_to_be_held_elsewhere_leaves_the_turn_of_its_key(ordered):
     # The end of a bad client's request ended the turn of the message whose id it had used.
     heard = ordered.ask()
-    ordered.sender.held_elsewhere(KeyChanges(held=[message()]))
+    ordered.sender.held_elsewhere(JournalChanges(held=[message()]))
     ordered.held.add("aa01")
     assert heard == [Busy(0.0)]
     assert ordered.ask("aa02", b"next") == [] and not ordered.passes()
-    ordered.sender.held_elsewhere(KeyChanges(ended=["aa01"]))
+    ordered.sender.held_elsewhere(JournalChanges(ended=["aa01"]))
     assert ordered.passes() == [b"next"]
 
 
--- a/tests/test_wording.py
+++ b/tests/test_wording.py
@@ -9,7 +9,7 @@
 # attributes of one letter, functions and parameters of one letter, withdrawn words in names, `Danger:`, exempt files
 MOST = {
     "decisions": (87, 28, 7, 2, 9),
-    "sender, state": (0, 0, 17, 28, 7),
+    "sender, state": (0, 0, 17, 27, 7),
     "protocol": (0, 0, 13, 31, 3),
     "service, records, dormancy": (7, 0, 30, 28, 5),
     "connections, admission, undeliverable, console": (0, 1, 7, 32, 2),
