--- a/tests/test_stories_clients.py
+++ b/tests/test_stories_clients.py
@@ -81,6 +81,17 @@
 COMMAND = b"*5\r\n$7\r\nENQUEUE\r\n$1\r\n0\r\n$4\r\na%03d\r\n$23\r\nc=preview,d=6000,dest=1\r\n$1\r\nx\r\n"
 
 
+def ids_of_calls(server, count):
+    """So many messages are called, each over a connection of its own."""
+    ids = set()
+    while len(ids) < count:
+        line, (_, headers, _) = server.take()
+        ids.add(headers["x-trace-id"])
+        line.answer(200, Connection="close")
+        line.close()
+    return ids
+
+
 def test_hundreds_of_commands_at_once_each_hear_an_error_and_none_is_taken(start):
     # One error stood for all of them, and those that a usual client had sent were lost with the connection's end.
     server = Backend("s1")
@@ -101,12 +112,7 @@
     client = program.client()
     client.sock.sendall(b"".join(COMMAND % n for n in range(20)))
     assert [client.heard() for _ in range(20)] == ["+OK"] * 20
-    names = set()
-    while len(names) < 20:
-        line, call = server.take()
-        names.add(call[1]["x-trace-id"])
-        line.answer(200, Connection="close")
-        line.close()
+    assert ids_of_calls(server, 20) == {f"a{n:03}" for n in range(20)}
 
 
 def test_half_a_command_behind_a_whole_one_costs_neither_its_answer(start):
@@ -211,13 +217,7 @@
     client.sock.sendall(COMMAND % 3)
     client.sock.sendall(COMMAND % 4)  # apart, and before the first has its answer
     assert [client.heard() for _ in range(2)] == ["+OK", "+OK"]
-    names = set()
-    while len(names) < 5:
-        line, call = server.take()
-        names.add(call[1]["x-trace-id"])
-        line.answer(200, Connection="close")
-        line.close()
-    assert names == {f"a00{n}" for n in range(5)}
+    assert ids_of_calls(server, 5) == {f"a00{n}" for n in range(5)}
 
 
 def test_a_client_that_goes_behind_its_commands_has_nothing_taken_that_it_did_not_hear(start):
