--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,7 +13,7 @@
 HERE = Path(__file__).resolve().parent
 CLIENTS = 60  # that come and leave, one after another
 EVERY = 0.05  # seconds from one to the next
-PAUSE = 0.001  # seconds between a client's first command and the half one behind it
+PAUSES = (0.0005, 0.001, 0.002, 0.003)  # seconds between a client's first command and the half one behind it, in turn
 
 
 def play(case: rig.Case) -> list[str]:
@@ -47,7 +47,7 @@
         client = rig.Client(listen)
         if case.trouble:
             client.sock.sendall(first)
-            time.sleep(PAUSE)
+            time.sleep(PAUSES[number % len(PAUSES)])
             client.sock.sendall(second[: len(second) // 2])
             case.record(f"client {number}: one command, half a command, close")
         else:
