--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# One run of the case: exit status 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+set -u
+cd "$(dirname "$0")" || exit 2
+exec ../../.venv/bin/python case.py
