--- a/review/stand_ins_2/rig.py
+++ b/review/stand_ins_2/rig.py
@@ -27,6 +27,7 @@
 READY_WAIT = 30.0  # seconds that a sender may take until it is ready
 SIGKILL_AFTER = 3.7  # seconds from SIGTERM to SIGKILL
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # exit status of a case
+LIMIT = 115.0  # seconds after which a case is ended that has not come to its end
 
 GRADES = [
     {
@@ -462,6 +463,17 @@
 def run(folder: Path, play: Callable[[Case], list[str]]) -> None:
     """Play a case and exit: `play` gives the breaks of the rule, one line each."""
     case = Case(folder)
+
+    def give_up(*why: object) -> None:
+        case.record("could not run: it was ended before its end")
+        case.close()
+        os._exit(NOT_RUN)
+
+    limit = threading.Timer(LIMIT, give_up)
+    limit.daemon = True
+    limit.start()
+    signal.signal(signal.SIGTERM, give_up)
+    signal.signal(signal.SIGINT, give_up)
     try:
         broken = play(case)
         for line in broken:
