A client that closes in its second command no longer ends the process

Every other client is reset.

Cause: the tick asks streams.waiting whether the client is there. Its read was done and had brought bytes, and they were taken for a client that waits; the end of the connection had come with them, and the write raised StreamClosedError in the tick.

Change: waiting looks whether the stream is closed before it looks at the read.

--- a/linkdock/streams.py
+++ b/linkdock/streams.py
@@ -55,11 +55,14 @@
 
 
 def waiting(stream: IOStream, read: asyncio.Future) -> bytes | None:
-    """What has come on a stream whose next read is `read`, without taking it; None if its peer has gone."""
-    if read.done():
-        return None if read.cancelled() or read.exception() is not None else read.result()
+    """What has come on a stream whose next read is `read`, without taking it; None if its peer has gone.
+
+    A stream may be closed though its read has brought bytes: its peer's end came with them, or right behind.
+    """
     if stream.closed():
         return None
+    if read.done():
+        return None if read.cancelled() or read.exception() is not None else read.result()
     try:
         return stream.socket.recv(PEEK, socket.MSG_PEEK) or None
     except BlockingIOError:
--- a/tests/test_races_clients.py
+++ b/tests/test_races_clients.py
@@ -19,7 +19,7 @@
 from linkdock.service.config import check
 from linkdock.service.run import Process
 from linkdock.state.journal import Journal
-from linkdock.state.requests import Taken
+from linkdock.state.requests import Busy, Taken
 
 
 async def at_the_deadline(rig, sock, data):
@@ -345,6 +345,30 @@
     played(story)
 
 
+@pytest.mark.parametrize("how", ["answered", "given way"])
+@pytest.mark.parametrize("behind", [b"", message(b"aa02")[:-20], message(b"aa02")], ids=["nothing", "half", "whole"])
+def test_a_client_that_sends_a_command_and_more_and_closes_does_not_end_the_tick_that_answers(behind, how):
+    # The tick raised StreamClosedError, and the process ended: what came with the close passed for a client that waits.
+    async def story(rig: Rig):
+        asked = []
+        rig.ask = lambda cls, destination, left, request, *rest, **more: asked.append(request.answer)
+        sock = rig.client()
+        sock.sendall(message(b"aa01"))
+        while not asked:
+            await asyncio.sleep(0)
+        session = next(iter(rig.front._sessions.values()))
+        sock.sendall(behind)
+        sock.close()
+        while not (session.next_read.done() and session.stream.closed()):
+            await asyncio.sleep(0)
+        assert not asked[0](Taken() if how == "answered" else Busy(0.0))  # nothing is taken on for it
+        while len(rig.front):
+            await asyncio.sleep(0)
+        assert len(asked) == 1
+
+    played(story)
+
+
 def test_at_the_very_end_what_was_read_is_answered_and_nothing_more_is_read():
     """Of a client that always sends the next before it has its answer; its connection would never end."""
 
