An order that is held back in an upgrade goes to the process that lives

Cause: Sender._held_back took such an order out of the open requests and left it to the next life, also where another process of the sender lives.

Change: in an upgrade it stays among the open requests, withdrawn from the decisions, and the next look hands it over. Sender.stop_unsafe is told whether there is another process. A planned restart is as before.

--- a/linkdock/sender/sender.py
+++ b/linkdock/sender/sender.py
@@ -69,6 +69,7 @@
         self.intake = Intake(context, self._ends, self._held_by_others)
         self._calls: dict[tuple[str, int], Call] = {}
         self._unsafe_until: float | None = None  # set while stopping
+        self._relieved = False  # while stopping: whether another process lives to hand over to
         self._left = 0  # requests left for the next life
         self._no_room_until = -inf  # the journal had no room for a dispatch; until then it is not asked again
         self.beside: Beside | None = None  # where another process of this sender may live
@@ -234,11 +235,16 @@
             self._spawn(call.run())
 
     def _held_back(self, request: Request, now: float) -> bool:
-        """While stopping, what may not be repeated and might not finish waits in the journal."""
+        """While stopping, what may not be repeated and might not finish is begun no more.
+
+        In an upgrade it stays open until `hand_over` gives it to the process that lives, whose it is in time. Else it
+        waits in the journal for the next life.
+        """
         if self._unsafe_until is None or now < self._unsafe_until or self._context.rules.repeatable(request.cls):
             return False
-        self._context.requests.remove(request.id)
-        self._left += 1
+        if not self._relieved:
+            self._context.requests.remove(request.id)
+            self._left += 1
         self._context.facade.report(Withdraw(request.id))
         return True
 
@@ -334,9 +340,9 @@
         """Messages that were taken on and have not ended, those left for the next life among them."""
         return len(self._context.requests) - len(self.intake) + self._left
 
-    def stop_unsafe(self, at: float) -> None:
-        """From then on start nothing that may not be repeated."""
-        self._unsafe_until = at
+    def stop_unsafe(self, at: float, relieved: bool = False) -> None:
+        """From then on start nothing that may not be repeated; `relieved`: `hand_over` is called until the end."""
+        self._unsafe_until, self._relieved = at, relieved
 
     def finishing(self) -> bool:
         """While stopping: whether anything is left that this life can still bring to its end."""
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -281,12 +281,12 @@
             self._operations.serving_mode.stop()
         if self._observer is not None:
             self._observer.stopping()
-        self.sender.stop_unsafe(self._loop.time() + NO_UNSAFE_AFTER)
         if self._shift is not None:
             # Danger: the other one said its yes just now, and this process has not looked since.
             self._shift.look()
             self._relieved = self._shift.relieved()
             self._shift.leaving()
+        self.sender.stop_unsafe(self._loop.time() + NO_UNSAFE_AFTER, self._relieved)
         if self._relieved:
             self._stop_accepting()  # what comes from now on is the other's, who reads the same socket
         else:
