Every command that was read is answered as the process leaves

Cause: a connection's commands are answered one after another, each at a tick of its own. Up to 64 may have been read, and nothing looked for those that were left when the last tick was over.

Change: as the process leaves, Intake.deny_all denies whoever waits for a tick, and ClientSession.deny_rest each whole command that was read, all in the turn of the loop in which the connections are given back. A denial promises that nothing was taken on.

--- a/linkdock/protocol/client_session.py
+++ b/linkdock/protocol/client_session.py
@@ -12,7 +12,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from ..state.requests import Answer, Refused, Request, Taken
+from ..state.requests import Answer, Busy, Refused, Request, Taken
 from ..state.wheel import Wheel
 from ..streams import seen, silent, waiting
 from . import enqueue, resp
@@ -197,6 +197,19 @@
                 break
             await asyncio.sleep(0)
 
+    def deny_rest(self) -> None:
+        """Nothing is handed in any more: deny each whole command that was read, so that none is without an answer."""
+        count, read = 0, self.next_read
+        try:
+            if read.done() and not read.cancelled() and read.exception() is None:
+                self._parser.feed(read.result())
+            while self._parser.skip(1):
+                count += 1
+        except resp.MalformedError:
+            pass  # what follows cannot be read
+        if count and not self.stream.closed():
+            self.stream.write(resp.answer(Busy(0.0)) * count).add_done_callback(seen)
+
     async def _command(self, words: list[bytes]) -> bool:
         """Answer one command; whether the connection goes on."""
         name = words[0].upper()
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -230,9 +230,10 @@
                 self.drop_if_silent(session, "the end")
 
     def close(self) -> None:
-        """Give everything back at once."""
+        """Give everything back at once. What was read and not handed in is denied."""
         self._listener.close()
         for session in list(self._sessions.values()):
+            session.deny_rest()
             self.drop(session, "the end")
         while self._closing_streams.close_oldest():
             pass
--- a/linkdock/sender/intake.py
+++ b/linkdock/sender/intake.py
@@ -127,6 +127,11 @@
             self._undo(request)
             self._tell(request, Busy(0.0))
 
+    def deny_all(self) -> None:
+        """No tick comes any more: whoever waits for one is denied."""
+        for request_id in list(self._unanswered):
+            self.give_way(request_id)
+
     def _undo(self, request: Request) -> None:
         """Begin nothing with a request that was reported to the decisions."""
         self._context.requests.remove(request.id)
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -325,6 +325,7 @@
         # Danger: a tick after the journal is closed and its lock let go of. What it sent, the next one would send too.
         self._ended = True
         self._ticks.stop()
+        self.sender.intake.deny_all()
         self.frontend.close()
         if self._operations is not None:
             self._operations.close()
--- a/tests/test_races_clients.py
+++ b/tests/test_races_clients.py
@@ -397,6 +397,76 @@
     played(story)
 
 
+HALF = message(b"half")[:-20]
+
+
+@pytest.mark.parametrize("count", [2, 20, 64])
+@pytest.mark.parametrize("read_at", ["with the first", "behind it"])
+def test_commands_that_were_read_behind_one_another_are_all_answered_as_the_process_leaves(count, read_at):
+    # Each was answered at a tick of its own, and those that were left when the process ended heard nothing.
+    async def story(rig: Rig):
+        waiting, sock = [], rig.client()
+        rig.ask = lambda cls, destination, left, request, *rest, **more: waiting.append(request.answer)
+        commands = [message(b"aa%02d" % n) for n in range(count)]
+        first = count if read_at == "with the first" else 1
+        sock.sendall(b"".join(commands[:first]))
+        while not waiting:
+            await asyncio.sleep(0)
+        sock.sendall(b"".join(commands[first:]) + HALF)
+        (session,) = rig.front._sessions.values()
+        while not session.next_read.done():
+            await asyncio.sleep(0)
+        waiting[0](Busy(0.0))  # as the one whose client waits for a tick is told
+        rig.front.close()
+        assert await rig.heard(sock) == [b"-BUSY"] * count and len(waiting) == 1
+
+    played(story)
+
+
+def test_a_client_that_flooded_or_sent_what_cannot_be_read_costs_others_no_answer_as_the_process_leaves():
+    async def story(rig: Rig):
+        waiting = []
+        rig.ask = lambda cls, destination, left, request, *rest, **more: waiting.append(request.answer)
+        flood, bad, usual = (rig.client() for _ in range(3))
+        for number, sock in enumerate((flood, bad, usual)):
+            sock.sendall(message(b"aa01"))
+            while len(waiting) <= number:
+                await asyncio.sleep(0)
+        flood.sendall(message(b"aa02") * 900)
+        bad.sendall(message(b"aa02") + b"*x")
+        usual.sendall(message(b"aa02"))
+        while not all(session.next_read.done() for session in rig.front._sessions.values()):
+            await asyncio.sleep(0)
+        for answer in waiting:
+            answer(Busy(0.0))
+        rig.front.close()
+        assert await rig.heard(usual) == [b"-BUSY"] * 2
+
+    played(story)
+
+
+def test_who_waits_for_a_tick_when_the_process_leaves_is_denied_and_nothing_of_it_is_on_record(tmp_path):
+    # No tick comes any more: it heard nothing, and neither did the commands that were read behind it.
+    async def story():
+        server = Backend("s1")
+        life = Life(tmp_path, server, tick=0.2)
+        sock, asked = life.client(), []
+        plain = life.process.sender.ask
+
+        def ask(cls, destination, left, request, *rest, **more):
+            plain(cls, destination, left, request, *rest, **more)
+            asked.append(request.id)
+            life.process._stop.set()
+
+        life.process.sender.ask = ask
+        sock.sendall(b"".join(message(b"aa%02d" % n) for n in range(20)))
+        assert await life.heard(sock, whole=True) == b"-BUSY\r\n" * 20
+        assert await life.ended == 0 and asked == ["aa00"]
+        assert not Journal(tmp_path / "state", 3_000_000).kept
+
+    lived(story)
+
+
 def test_who_sends_again_and_again_after_sigterm_is_answered_or_not_taken_on_and_the_process_ends_in_time(start):
     """Its next request has always come before its answer, so that its connection is never silent."""
     server = Backend("s1")  # never answers: the process stays as long as it may
