Keep connections by the process behind a row, not by its name alone

Callers saw: an address changes hands while connections to the process before live on; orders for the new destination run at the old process.

Cause: the pools kept connections by the server's name and address. A row with another destination or a later start (born_ms) names another process.

Change: Server.peer is what a row names. A connection to another peer is not taken, is closed when its call ends, and carries no call if the row changed while it came up. FirstBytes forgets the process before.

--- a/linkdock/connections/endpoint_table.py
+++ b/linkdock/connections/endpoint_table.py
@@ -80,17 +80,17 @@
                     if not endpoint.held and not endpoint.waiting:
                         del self.endpoints[server]
                         break
-            known = self.endpoints[ticket.server] = Endpoint(ticket.kind, ticket.dial, Demand(now))
+            known = self.endpoints[ticket.server] = Endpoint(ticket.kind, ticket.peer, Demand(now))
         return known
 
-    def _moved(self, server: str, endpoint: Endpoint, dial: tuple, done: list[Action]) -> None:
+    def _moved(self, server: str, endpoint: Endpoint, peer: tuple, done: list[Action]) -> None:
         """Danger: an id that moves to another address. What was learned and kept belongs to the old one."""
-        if endpoint.dial == dial:
+        if endpoint.peer == peer:
             return
         while endpoint.idle:
             self._close(endpoint, endpoint.idle[-1], "moved", done)
         self.choice.forget(server)
-        endpoint.dial, endpoint.cap, endpoint.hold, endpoint.unreachable = dial, inf, 0.0, False
+        endpoint.peer, endpoint.cap, endpoint.hold, endpoint.unreachable = peer, inf, 0.0, False
 
     # --- Connections.
 
@@ -166,7 +166,7 @@
         endpoint.opening += 1
         self.count += 1
         self.peak = max(self.peak, self.count)
-        done.append(Open(server, endpoint.kind, endpoint.dial))
+        done.append(Open(server, endpoint.kind, endpoint.peer))
 
     def _close(self, endpoint: Endpoint, connection: object, why: str, done: list[Action]) -> None:
         endpoint.idle.remove(connection)
--- a/linkdock/connections/first_bytes.py
+++ b/linkdock/connections/first_bytes.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Hashable
 from math import inf
 
 CROSSING = 0.0025  # seconds from a call's last byte in which a copy that crosses it comes, over a network that is quick
@@ -29,11 +30,12 @@
 class _Server:
     """How soon one server's last answers began, in seconds."""
 
-    __slots__ = ("answers", "deliveries", "_soonest", "_soonest_before", "_count", "_known")
+    __slots__ = ("answers", "deliveries", "peer", "_soonest", "_soonest_before", "_count", "_known")
 
     def __init__(self) -> None:
         self.answers: deque[float] = deque(maxlen=SAMPLES)
         self.deliveries: deque[float] = deque(maxlen=SAMPLES)  # those with 200
+        self.peer: Hashable = None  # the process whose answers they are, where that is known
         self._soonest = self._soonest_before = inf  # of the answers that surely are some, in this window and the last
         self._count = 0  # such answers in this window,
         self._known = 0  # and in all, up to `WINDOW`
@@ -69,6 +71,13 @@
         """Servers that are known."""
         return len(self._servers)
 
+    def reached(self, server: str, peer: Hashable) -> None:
+        """A call goes to this process. What was learned of another one by the same name is forgotten."""
+        known = self._used(server)
+        if known.peer not in (None, peer):
+            known = self._servers[server] = _Server()
+        known.peer = peer
+
     def note(self, server: str, seconds: float, delivery: bool = True) -> None:
         """What was taken for an answer began so long after its call's last byte."""
         known = self._used(server)
--- a/linkdock/connections/kept.py
+++ b/linkdock/connections/kept.py
@@ -15,6 +15,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..errors import log_line
+from ..facade import Peer
 from ..state.wheel import Wheel
 from ..streams import seen, silent
 from . import view
@@ -31,9 +32,9 @@
 
     __slots__ = ("got",)
 
-    def __init__(self, server: str, kind: int, dial: tuple[str, int], careful: bool) -> None:
-        """A request for a connection to `server` at the address `dial`; `careful`: its call must not be repeated."""
-        super().__init__(server, kind, dial, careful)
+    def __init__(self, server: str, kind: int, peer: Peer, careful: bool) -> None:
+        """A request for a connection to `peer`, by the row of `server`; `careful`: its call must not be repeated."""
+        super().__init__(server, kind, peer, careful)
         self.got: asyncio.Future[Connection] = asyncio.get_running_loop().create_future()
         self.got.add_done_callback(seen)  # its call may be over before it comes
 
@@ -70,12 +71,12 @@
 
     # --- What a call says.
 
-    def ask(self, server: str, kind: int, dial: tuple[str, int], careful: bool) -> Asked:
+    def ask(self, server: str, kind: int, peer: Peer, careful: bool) -> Asked:
         """A wish for a connection. Its future `got` gives a Connection whose peer is silent.
 
         It fails with PoolFull if none is to be had in time, with StreamClosedError if the server cannot be reached.
         """
-        asked = Asked(server, kind, dial, careful)
+        asked = Asked(server, kind, peer, careful)
         self._do(self.manager.ask(self._wheel.now, asked))
         return asked
 
@@ -160,9 +161,9 @@
                 self._use(asked, connection)
             case Open() if self._closed:
                 pass  # the end: what is ordered by calls that are given up is not begun any more
-            case Open(server, kind, dial):
+            case Open(server, kind, peer):
                 try:
-                    connection = Connection(server, kind, dial, new_stream())
+                    connection = Connection(server, kind, peer, new_stream())
                 except PoolFull as bad:
                     log.info("backend server %s: %s", server, log_line(bad))
                     return self._do(self.manager.no_descriptor(self._wheel.now, server))
@@ -192,7 +193,7 @@
         timer = self._wheel.after(self._connect_timeout, connection.stream.close)
         try:
             if not self._closed:
-                await connection.stream.connect(connection.dial)
+                await connection.stream.connect(connection.peer.address)
                 up = self._listen(connection)
         except (StreamClosedError, OSError):
             pass
@@ -201,7 +202,7 @@
             self._opening.discard(connection)
             if not up or self._closed:
                 connection.stream.close()
-                self._do(self.manager.failed(self._wheel.now, connection.server, connection.dial))
+                self._do(self.manager.failed(self._wheel.now, connection.server, connection.peer))
         if up and not self._closed:
             self._idle.add(connection)
             self._do(self.manager.ready(self._wheel.now, connection, self._wheel.now - began))
--- a/linkdock/connections/manager.py
+++ b/linkdock/connections/manager.py
@@ -68,7 +68,7 @@
         if self._waiting >= MOST_WAITING:
             return [Fail(ticket, True)]
         done: list[Action] = []
-        self._moved(ticket.server, endpoint, ticket.dial, done)
+        self._moved(ticket.server, endpoint, ticket.peer, done)
         endpoint.waiting.append(ticket)
         self._waiting += 1
         self._serve(now, endpoint, done)
@@ -107,7 +107,7 @@
         """Its call was over before it began: it lies idle as before."""
         endpoint, done = self.endpoints[connection.server], []
         endpoint.busy -= 1
-        if connection.dial != endpoint.dial:
+        if connection.peer != endpoint.peer:
             self._gone(endpoint, "moved")
             return [Close(connection)]
         self._lay(connection.idle_since, endpoint, connection)
@@ -132,20 +132,20 @@
             endpoint.unreachable, endpoint.cold_since = False, now
         connection.age, connection.uses = FRESH, 0
         done: list[Action] = []
-        if connection.dial != endpoint.dial:
+        if connection.peer != endpoint.peer:
             self._gone(endpoint, "moved")
             return [Close(connection)]
         self._lay(now, endpoint, connection)
         self._serve(now, endpoint, done)
         return done
 
-    def failed(self, now: float, server: str, dial: tuple) -> list[Action]:
+    def failed(self, now: float, server: str, peer: tuple) -> list[Action]:
         """One that was being opened could not be."""
         endpoint = self.endpoints[server]
         endpoint.opening -= 1
         self._gone(endpoint, "failed")
         done: list[Action] = []
-        if dial != endpoint.dial:
+        if peer != endpoint.peer:
             self._serve(now, endpoint, done)
             return done
         if endpoint.up:
@@ -183,7 +183,7 @@
         endpoint.busy -= 1
         endpoint.resting.discard(connection)
         connection.uses += 1
-        if connection.dial != endpoint.dial:
+        if connection.peer != endpoint.peer:
             self._gone(endpoint, "moved")
             return [Close(connection)]
         other = self._ahead.deserving(now, connection.server, endpoint)
--- a/linkdock/connections/orders.py
+++ b/linkdock/connections/orders.py
@@ -1,6 +1,6 @@
 """What the `ConnectionManager` is asked and what it orders, and what is known of one server. No I/O, no clock.
 
-A connection is any object with `server`, `kind`, `dial`, `age`, `idle_since` and `uses`; its owner reads and writes
+A connection is any object with `server`, `kind`, `peer`, `age`, `idle_since` and `uses`; its owner reads and writes
 none of the last three. A ticket is one call's wish for a connection.
 """
 
@@ -31,7 +31,7 @@
 
     server: str
     kind: int
-    dial: tuple
+    peer: tuple
 
 
 class Close(NamedTuple):
@@ -56,7 +56,7 @@
 
     server: str
     kind: int
-    dial: tuple
+    peer: tuple
     careful: bool  # what it carries may not be repeated
     since: float = 0.0
     until: float = inf
@@ -67,7 +67,7 @@
     """What is known of one server."""
 
     kind: int
-    dial: tuple
+    peer: tuple
     demand: Demand
     idle: list = field(default_factory=list)  # the longest idle first
     waiting: deque[Ticket] = field(default_factory=deque)
--- a/linkdock/connections/pool.py
+++ b/linkdock/connections/pool.py
@@ -8,6 +8,7 @@
 from tornado.iostream import IOStream
 
 from ..errors import LinkdockError
+from ..facade import Peer
 from ..state.wheel import Timer, Wheel
 from ..streams import seen, silent
 from . import FRESH
@@ -30,7 +31,7 @@
     __slots__ = (
         "server",
         "kind",
-        "dial",
+        "peer",
         "stream",
         "timer",
         "first",
@@ -42,9 +43,9 @@
         "repeated",
     )
 
-    def __init__(self, server: str, kind: int, dial: tuple[str, int], stream: IOStream) -> None:
-        """A connection over `stream` that has just been opened to `server` at the address `dial`."""
-        self.server, self.kind, self.dial, self.stream = server, kind, dial, stream
+    def __init__(self, server: str, kind: int, peer: Peer, stream: IOStream) -> None:
+        """A connection over `stream` that has just been opened to `peer`, by the row of `server`."""
+        self.server, self.kind, self.peer, self.stream = server, kind, peer, stream
         self.idle_since, self.age, self.uses = 0.0, FRESH, 0  # the manager's, where there is one
         self.timer: Timer | None = None
         self.first = None  # the read that waits for the next answer
@@ -90,19 +91,19 @@
         while self._count > most and self._make_room():
             pass
 
-    def take(self, server: str, dial: tuple[str, int]) -> Connection | None:
-        """An idle connection that is alive, the freshest first, with its first read begun."""
+    def take(self, server: str, peer: Peer) -> Connection | None:
+        """An idle connection to `peer` that is alive, the freshest first, with its first read begun."""
         while kept := self._idle.get(server):
             connection = kept[-1]
             self._remove(connection)
             # Danger: the other side closed it, or spoke out of turn. A request written now would be reset,
-            # which an unsafe one does not survive, or get a stray answer.
-            if connection.dial == dial and silent(connection.stream, connection.first):
+            # which an unsafe one does not survive, or get a stray answer. Or the row names another process by now.
+            if connection.peer == peer and silent(connection.stream, connection.first):
                 return connection
             self.discard(connection)
         return None
 
-    def open(self, server: str, kind: int, dial: tuple[str, int]) -> Connection:
+    def open(self, server: str, kind: int, peer: Peer) -> Connection:
         """A new connection, not yet connected. The oldest idle one makes room when all are taken."""
         if self._count >= self._most and not self._make_room():
             raise PoolFull("every connection that this process may open is in use")
@@ -113,7 +114,7 @@
                 raise
             stream = new_stream()  # by the descriptor that has just come free
         self._count += 1  # Danger: counted before, it would be counted for good where there is no descriptor
-        return Connection(server, kind, dial, stream)
+        return Connection(server, kind, peer, stream)
 
     def _make_room(self) -> bool:
         """Close the idle connection that would be retired first; whether there was one."""
--- a/linkdock/facade.py
+++ b/linkdock/facade.py
@@ -41,6 +41,23 @@
 _LISTS = {"kept": i.ListKind.CACHED, "whole": i.ListKind.FULL, "changes": i.ListKind.DELTA}
 
 
+class Peer(NamedTuple):
+    """The process behind a row: one with another address, destination or start names another process.
+
+    A process that has gone may leave its name and its address to the next one while connections to it live on.
+    """
+
+    host: str
+    port: int
+    destination: int
+    born: float  # Unix time in seconds of its last start; 0.0 means long ago
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it is dialled."""
+        return self.host, self.port
+
+
 class Server(NamedTuple):
     """One line of the server table."""
 
@@ -54,6 +71,11 @@
     born: float = 0.0
     out_since: float | None = None  # it comes back cold from being out since then, on the loop's clock
 
+    @property
+    def peer(self) -> Peer:
+        """The process that it names."""
+        return Peer(*self.dial, self.destination, self.born)
+
 
 # --- Facts, for `report`.
 
--- a/linkdock/lab/connections.py
+++ b/linkdock/lab/connections.py
@@ -91,7 +91,7 @@
 
     server: str
     kind: int
-    dial: tuple
+    peer: tuple
     age: float = FRESH
     idle_since: float = 0.0
     uses: int = 0
@@ -123,7 +123,7 @@
         self._count += 1
         self.peak = max(self.peak, self._count)
         self._opening.setdefault(wish.server, deque()).append(wish)
-        return [Open(wish.server, wish.kind, wish.dial)]
+        return [Open(wish.server, wish.kind, wish.peer)]
 
     def ready(self, now: float, line: Line, seconds: float) -> list[Action]:
         return [Use(self._opening[line.server].popleft(), line)]
@@ -256,10 +256,10 @@
             match action:
                 case Use(wish, line):
                     self._call(wish, line)
-                case Open(server, kind, dial):
+                case Open(server, kind, peer):
                     self.found.opened += 1
                     done = self._servers[server].work(self.now + self._plan.trip, self._plan.handshake)
-                    line = Line(server, kind, dial)
+                    line = Line(server, kind, peer)
                     self._at(done + self._plan.trip, self._ready, line, self.now)
                 case Fail():
                     self.found.unserved += 1
--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -12,7 +12,7 @@
 
 from ..connections.pool import BUFFER, Connection, PoolFull
 from ..errors import log_line
-from ..facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT
+from ..facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, Peer
 from ..facade import Dispatch as Order
 from ..state.requests import Request
 from ..streams import answer_lag, silent
@@ -211,6 +211,10 @@
         backend = self._backend
         if not self.items:
             return backend.kept is not None  # the keeper's lies untouched; else it was closed to give the call up
+        if self._replaced():
+            self._end_all(NOT_SENT, tried=False)
+            return False
+        backend.first_bytes.reached(self.server, self._connection.peer)
         stream, size = self._connection.stream, 0
         for request, item in list(self.items.items()):
             # Danger: while the connection came up a wait, a drain or an end may have been told. And a batch
@@ -242,27 +246,32 @@
             backend.observer.written(self.server, self.items, self._fresh)
         return await self._answer()
 
+    def _replaced(self) -> bool:
+        """Whether the row names another process by now than the one that the connection leads to."""
+        row = self._backend.table.row(self.server)
+        return row is not None and row.peer != self._connection.peer
+
     async def _connect(self) -> None:
         """A kept connection that is alive and silent, or a new one."""
-        backend, dial = self._backend, self._row.dial
-        self._connection = backend.pool.take(self.server, dial)
+        backend, peer = self._backend, self._row.peer
+        self._connection = backend.pool.take(self.server, peer)
         while self._connection is not None and (rest := self._connection.rested_at - backend.wheel.now) > 0:
             # Danger: what still comes behind the last answer would pass for the answer to this call.
             await backend.wheel.pause(rest)
             if silent(self._connection.stream, self._connection.first):
                 break
             backend.pool.discard(self._connection)
-            self._connection = backend.pool.take(self.server, dial)
+            self._connection = backend.pool.take(self.server, peer)
         if self._connection is None and self.items:
-            self._connection = await self._open(dial)
+            self._connection = await self._open(peer)
             stream = self._connection.stream
             timer = backend.wheel.after(backend.connect_timeout, stream.close)
             try:
-                await stream.connect(dial)
+                await stream.connect(peer.address)
             finally:
                 timer.cancel()
 
-    async def _open(self, dial: tuple[str, int]) -> Connection:
+    async def _open(self, peer: Peer) -> Connection:
         """A connection to be made. Raises PoolFull where there is none to be had in time.
 
         Danger: descriptors that have run out. A call that failed at once would go through its requests' attempts in no
@@ -271,7 +280,7 @@
         backend, until = self._backend, self._backend.wheel.now + self._backend.connect_timeout
         while True:
             try:
-                return backend.pool.open(self.server, self._row.kind, dial)
+                return backend.pool.open(self.server, self._row.kind, peer)
             except PoolFull:
                 if backend.wheel.now >= until:
                     raise
@@ -285,7 +294,7 @@
         """The keeper's: one that it trusts for what is to be sent, or the first that comes free or comes up."""
         careful = not all(self._backend.owner.repeatable(request) for request in self._requests.values())
         while self._connection is None:
-            self._asked = self._backend.kept.ask(self.server, self._row.kind, self._row.dial, careful)
+            self._asked = self._backend.kept.ask(self.server, self._row.kind, self._row.peer, careful)
             connection = await self._asked.got
             # Danger: a turn of the loop after the keeper's look. Its server may have closed it, or spoken, since.
             if silent(connection.stream, connection.first) or not self.items:
@@ -296,7 +305,7 @@
     def _encode(self) -> bytes:
         left = max(item.limit for item in self.items.values()) - (self._backend.clock() - self._began)
         headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
-        dial = self._connection.dial
+        dial = self._connection.peer.address
         requests = [self._requests[r] for r in self.items]
         self._single = len(requests) == 1
         if self._single:
--- a/tests/handshakes.py
+++ b/tests/handshakes.py
@@ -6,8 +6,8 @@
 
 
 class Line:
-    def __init__(self, server, kind, dial):
-        self.server, self.kind, self.dial = server, kind, dial
+    def __init__(self, server, kind, peer):
+        self.server, self.kind, self.peer = server, kind, peer
         self.age, self.idle_since, self.uses, self.closed = FRESH, 0.0, 0, False
 
 
@@ -20,8 +20,8 @@
         self.now, self.handshake, self.opening = 0.0, handshake, []
         self.used, self.failed, self.opened, self.blocked, self.refusing = [], [], 0, {}, set()
 
-    def ask(self, server="s", careful=False, dial=("h", 1)):
-        ticket = Ticket(server, 0, dial, careful)
+    def ask(self, server="s", careful=False, peer=("h", 1)):
+        ticket = Ticket(server, 0, peer, careful)
         self.do(self.manager.ask(self.now, ticket))
         return ticket
 
@@ -30,9 +30,9 @@
             match action:
                 case Use():
                     self.used.append(action)
-                case Open(server, kind, dial):
+                case Open(server, kind, peer):
                     self.opened += 1
-                    self.opening.append((self.now + self.handshake, Line(server, kind, dial)))
+                    self.opening.append((self.now + self.handshake, Line(server, kind, peer)))
                 case Close(line):
                     assert not line.closed
                     line.closed = True
@@ -49,7 +49,7 @@
             )
             for _, line in due:
                 if line.server in self.refusing:
-                    self.do(self.manager.failed(self.now, line.server, line.dial))
+                    self.do(self.manager.failed(self.now, line.server, line.peer))
                 else:
                     self.do(self.manager.ready(self.now, line, self.handshake))
             if round(self.now / ROUND * 4) % 4 == 0:
--- a/tests/test_connection_manager_bounds.py
+++ b/tests/test_connection_manager_bounds.py
@@ -107,19 +107,19 @@
     assert wire.manager.choice.life("s", 0) is not None
     old = wire.ask()
     wire.to(wire.now + 0.2)
-    moved = wire.ask(dial=("h", 2))
+    moved = wire.ask(peer=("h", 2))
     wire.to(wire.now + 0.2)
-    assert wire.given(moved).dial == ("h", 2)
+    assert wire.given(moved).peer == ("h", 2)
     wire.done(wire.given(old))
     assert wire.given(old).closed and wire.manager.endpoints["s"].up == 1
 
 
 def test_one_that_came_up_after_its_id_had_moved_is_closed():
     wire = Wire(ahead=0)
-    wire.ask(dial=("h", 1))
-    ticket = wire.ask(dial=("h", 2))
+    wire.ask(peer=("h", 1))
+    ticket = wire.ask(peer=("h", 2))
     wire.to(0.5)
-    assert wire.given(ticket).dial == ("h", 2)
+    assert wire.given(ticket).peer == ("h", 2)
 
 
 def test_a_restart_with_two_hundred_owed_opens_within_its_bounds_and_serves_all():
@@ -165,8 +165,8 @@
         for _ in range(400):
             match luck.randrange(7):
                 case 0 | 1 | 2:
-                    dial = ("h", luck.randrange(30) // 29)
-                    tickets.append(wire.ask(f"s{luck.randrange(5)}", luck.random() < 0.5, dial))
+                    peer = ("h", luck.randrange(30) // 29)
+                    tickets.append(wire.ask(f"s{luck.randrange(5)}", luck.random() < 0.5, peer))
                 case 3:
                     wire.refusing.symmetric_difference_update({f"s{luck.randrange(5)}"})
                 case 4 if tickets:
