Count all bytes of all clients' connections in one account

Callers saw: with hundreds of clients that stop half way, send slowly or send very many short fields, the process passes memory_mb and is killed; usual clients are answered up to 0.65 s late.

Cause: bytes were counted only of connections that waited for the rest of a command. What was read ahead (64 KB each), a whole command while it was answered or its client penalised, and the list made of its pairs counted nowhere, and were kept for up to half a second.

Change: ConnectionTable.held_bytes is the account of all of them, kept as a running sum; over an eighth of the memory those that hold most are closed, none that is being answered. Reading ahead takes 4 KB. Refused commands are let go of first, long words kept in pieces, lists of pairs over 4 KB refused. In an upgrade each process has half.

--- a/linkdock/lab/order_search_stand_ins.py
+++ b/linkdock/lab/order_search_stand_ins.py
@@ -64,6 +64,9 @@
     def hold_at_most(self, most: int) -> None:
         """There are never as many."""
 
+    def hold_bytes_at_most(self, most: int) -> None:
+        """They hold none."""
+
     def stop_accepting(self, shared: bool) -> None:
         """No new clients from now on."""
         self.accepts = False
--- a/linkdock/protocol/client_session.py
+++ b/linkdock/protocol/client_session.py
@@ -21,13 +21,15 @@
 if TYPE_CHECKING:
     from ..state.serving_mode import ServingMode
 
-BUFFER = 128 * 1024  # bytes of one connection: one command, and the start of a next
+BUFFER = 128 * 1024  # bytes of one connection that wait to be written, at the most
+READ_CHUNK = 4 * 1024  # bytes that are read at once: so much each of hundreds of clients may have sent ahead
 COMMAND_TIMEOUT = 2.0  # seconds from connecting, or from a later command's first byte, to the command's last
 IDLE_TIMEOUT = 5.0  # seconds without a command before a connection is closed,
 UNUSED_TIMEOUT = 2.0  # and before one that never handed in a message is
 WRITE_TIMEOUT = 2.0  # seconds for a client to read an answer
 ERROR_DELAY = 0.05  # seconds that a connection waits after its first error; each further one adds as much
 MOST_ERRORS = 10  # of one connection
+REFUSED_AT_ONCE = 8  # commands of a flood in one turn of the loop; hundreds of connections may flood at once
 MOST_REFUSED = 512 * 1024  # bytes of a flood that are read, so that each whole command in them is answered
 
 
@@ -64,13 +66,16 @@
     def set_state(self, session: ClientSession, state: ConnectionState) -> None:
         """It does something else from now on; what is too much of that is closed, itself perhaps."""
 
+    def hold(self, session: ClientSession, held_bytes: int) -> None:
+        """Its commands take so many bytes from now on; who holds too much is closed, itself perhaps."""
+
     def message_taken(self, session: ClientSession) -> None:
         """A message that came on it was taken on."""
 
 
 def begin_read(stream: IOStream) -> asyncio.Future:
     """A read of what comes next. Raises OSError if the stream is closed already."""
-    read = stream.read_bytes(BUFFER // 2, partial=True)
+    read = stream.read_bytes(READ_CHUNK, partial=True)
     read.add_done_callback(seen)
     return read
 
@@ -146,29 +151,38 @@
             await asyncio.sleep(0)
             if self.dropped:
                 return ""  # whoever dropped it has said why
+            refusal = flood = ""
             try:
-                words = self._parser.next()
-                if words is None:
+                whole = self._parser.next()
+                if whole is None:
                     if due is None and self._parser.partial:
                         due = self._wheel.now + COMMAND_TIMEOUT  # it began behind the command before it
                     if self._owner.turns_away(self):
                         return "stopping"
-                    data = await self._more(due)
+                    self._parser.feed(await self._more(due))
                     due = due or self._wheel.now + COMMAND_TIMEOUT
-                    self._parser.feed(data)
+                    self._owner.hold(self, self._parser.held)
                     continue
                 due = None
                 self.entry.commands += 1
+                self._owner.hold(self, self._parser.held + sum(map(len, whole)))
                 if self._parser.partial:
                     self._parser.check_behind()
-                if not await self._command(words):
+                if not await self._command(whole):
                     return "told to"
-            except resp.FloodError as flood:
+            except resp.FloodError as bad:
+                flood = str(bad)
+            except (Refused, resp.OversizeError) as bad:
+                refusal = str(bad)
+            # Out here neither the command nor, by an exception's frames, what was made of it is kept any longer.
+            whole = None
+            self._owner.hold(self, self._parser.held)
+            if flood:
                 await self._refuse_all(flood)
                 return "flood"
-            except (Refused, resp.OversizeError) as bad:
+            if refusal:
                 self.entry.errors += 1
-                await self._write(resp.error(f"ERR {bad}"))
+                await self._write(resp.error(f"ERR {refusal}"))
                 if self.entry.errors >= MOST_ERRORS:
                     return "errors"
                 await self._penalise()
@@ -178,7 +192,7 @@
         await self._wheel.pause(ERROR_DELAY * self.entry.errors)
         self._owner.set_state(self, ConnectionState.ANSWERING)
 
-    async def _refuse_all(self, flood: resp.FloodError) -> None:
+    async def _refuse_all(self, flood: str) -> None:
         """Answer the command in hand and each whole one behind it with an error.
 
         Usual clients do not wait for their answers either, and a process that was held up finds many of their commands
@@ -187,7 +201,7 @@
         refusal, left = resp.error(f"ERR Protocol error: {flood}"), MOST_REFUSED
         await self._write(refusal)
         while left > 0:
-            if count := self._parser.skip(resp.MOST_BEHIND):
+            if count := self._parser.skip(REFUSED_AT_ONCE):
                 await self._write(refusal * count)
             elif waiting(self.stream, self.next_read):
                 data = await self._next_bytes()
@@ -244,7 +258,6 @@
             seconds, why = IDLE_TIMEOUT if self.entry.messages else UNUSED_TIMEOUT, "idle"
         else:
             seconds, why = due - self._wheel.now, "command not whole"
-            self.entry.partial_bytes = self._parser.held
             self._owner.set_state(self, ConnectionState.READING)
             if due <= self._wheel.now and not self.dropped and not self.next_read.done():
                 self._owner.drop(self, why)  # what had come by then has been looked at
--- a/linkdock/protocol/connection_table.py
+++ b/linkdock/protocol/connection_table.py
@@ -40,7 +40,7 @@
         "state",
         "connected_at",
         "state_since",
-        "partial_bytes",
+        "held_bytes",
         "messages",
         "commands",
         "errors",
@@ -50,7 +50,7 @@
         """A connection that was accepted at `now`, the first of a process being number 1."""
         self.number, self.address = number, ""
         self.state, self.connected_at, self.state_since = ConnectionState.READING, now, now
-        self.partial_bytes = 0  # of a command that is not whole yet
+        self.held_bytes = 0  # of commands, whole or not; set by the table
         self.messages = self.commands = self.errors = 0  # messages taken on, whole commands, errors
 
     def uselessness(self) -> float:
@@ -65,6 +65,7 @@
         """`limit` connections in all; `usual` is the bound that the usual clients keep by themselves."""
         self.limit = limit
         self._accepted = self._count = 0
+        self.held_bytes = 0  # of all connections together
         self._idle_limit = max(4, usual // IDLE_DIVISOR)
         # By state and whether a message was taken on; whoever has been in it the longest first.
         self._by_state: list[tuple[dict[ConnectionEntry, None], dict[ConnectionEntry, None]]]
@@ -84,6 +85,7 @@
 
     def remove(self, entry: ConnectionEntry) -> None:
         """Its connection is closed."""
+        self.set_held(entry, 0)
         self._count -= 1
         del self._group(entry)[entry]
 
@@ -96,6 +98,11 @@
         entry.state, entry.state_since = state, now
         self._group(entry)[entry] = None
 
+    def set_held(self, entry: ConnectionEntry, held_bytes: int) -> None:
+        """It holds so many bytes of commands from now on, whatever it is doing."""
+        self.held_bytes += held_bytes - entry.held_bytes
+        entry.held_bytes = held_bytes
+
     def count_message(self, entry: ConnectionEntry) -> None:
         """A message that came on it was taken on."""
         del self._group(entry)[entry]
@@ -106,9 +113,11 @@
         """Those between commands."""
         return chain(*self._by_state[ConnectionState.IDLE])
 
-    def reading(self) -> Iterator[ConnectionEntry]:
-        """Those that wait for the rest of a command."""
-        return chain(*self._by_state[ConnectionState.READING])
+    def largest_unanswered(self) -> ConnectionEntry | None:
+        """The one that holds most of those that wait for the rest of a command, or after an error."""
+        waiting = chain(*self._by_state[ConnectionState.READING], *self._by_state[ConnectionState.PENALISED])
+        largest = max(waiting, key=lambda entry: entry.held_bytes, default=None)
+        return largest if largest is not None and largest.held_bytes else None
 
     def eviction_candidates(self, now: float) -> tuple[list[ConnectionEntry], list[ConnectionEntry]]:
         """Who might make room, the least missed first: those of no use, some of whom go in bulk, and the rest.
--- a/linkdock/protocol/enqueue.py
+++ b/linkdock/protocol/enqueue.py
@@ -9,6 +9,7 @@
 
 WORD = re.compile(rb"[0-9A-Za-z_.:-]{1,64}\Z")  # a key, an id or an idempotency key
 MOST_DIGITS = 9  # of a number
+MOST_PAIRS = 4096  # bytes of the list of names and values, which has a handful of them
 
 
 class EnqueueCommand(NamedTuple):
@@ -31,6 +32,8 @@
     if len(words) != 5:
         raise Refused("wrong number of arguments for 'enqueue'")
     _, key, message_id, pairs, body = words
+    if len(pairs) > MOST_PAIRS:
+        raise Refused("the list of names and values is too long")
     if not WORD.match(key) or not WORD.match(message_id):
         raise Refused("malformed key or id")
     values = _values(pairs)
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -13,7 +13,7 @@
 
 from ..state.wheel import Wheel
 from ..streams import ClosingStreams
-from .client_session import BUFFER, ClientSession, Sender, begin_read
+from .client_session import BUFFER, READ_CHUNK, ClientSession, Sender, begin_read
 from .connection_table import ConnectionEntry, ConnectionState, ConnectionTable
 from .listening import Listener
 
@@ -38,15 +38,15 @@
         spawn: Callable,
         limit: int,
         usual: int,
-        most_partial_bytes: int,
+        most_held_bytes: int,
         gate: Gate | None = None,
     ) -> None:
-        """Accept on `sockets`: `limit` connections, and so many bytes of commands that are not whole yet.
+        """Accept on `sockets`: `limit` connections, and so many bytes of commands that all of them hold together.
 
         `usual` is the bound that the usual clients keep by themselves. `gate`: where `deploy/admission.json` is on.
         """
         self._sender, self._wheel, self._spawn, self._gate = sender, wheel, spawn, gate
-        self._most_partial_bytes = most_partial_bytes
+        self._most_held_bytes = most_held_bytes
         self._table = ConnectionTable(limit, usual)
         self._sessions: dict[ConnectionEntry, ClientSession] = {}
         self._closing_streams = ClosingStreams(wheel.after, spawn)  # given back and not closed yet
@@ -73,7 +73,7 @@
                 gate.no_room(now, host)
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = IOStream(sock, max_buffer_size=BUFFER, max_write_buffer_size=BUFFER)
+        stream = IOStream(sock, max_buffer_size=BUFFER, read_chunk_size=READ_CHUNK, max_write_buffer_size=BUFFER)
         try:
             read = begin_read(stream)
         except OSError:
@@ -101,6 +101,11 @@
             self._gate.hold_at_most(limit)
         self._close_down_to(limit, "")
 
+    def hold_bytes_at_most(self, most_held_bytes: int) -> None:
+        """Bound anew what the commands of all connections take together."""
+        self._most_held_bytes = most_held_bytes
+        self._keep_within_memory()
+
     def _has_room(self, host: str) -> bool:
         """Whether one more connection, from `host`, finds room or room was made for it."""
         if self._gate is not None and self._gate.crowded(self._wheel.now, host) and not self._make_room(host):
@@ -151,10 +156,22 @@
         if state == ConnectionState.IDLE:
             for entry in self._table.excess_idle(self._wheel.now):
                 self.drop_if_silent(self._sessions[entry], "too many idle")
-        elif state == ConnectionState.READING:
-            while sum(entry.partial_bytes for entry in self._table.reading()) > self._most_partial_bytes:
-                largest = max(self._table.reading(), key=lambda entry: entry.partial_bytes)
-                self.drop(self._sessions[largest], "memory")
+        elif state in (ConnectionState.READING, ConnectionState.PENALISED):
+            self._keep_within_memory()
+
+    def hold(self, session: ClientSession, held_bytes: int) -> None:
+        """Its commands take so many bytes from now on, the one that is being answered included."""
+        if not session.dropped:
+            self._table.set_held(session.entry, held_bytes)
+            self._keep_within_memory()
+
+    def _keep_within_memory(self) -> None:
+        """Close those that hold most, none whose command is being answered: it was read, and is owed its answer."""
+        while self._table.held_bytes > self._most_held_bytes:
+            largest = self._table.largest_unanswered()
+            if largest is None:
+                break
+            self.drop(self._sessions[largest], "memory")
 
     def message_taken(self, session: ClientSession) -> None:
         """A message that came on it was taken on."""
--- a/linkdock/protocol/resp.py
+++ b/linkdock/protocol/resp.py
@@ -10,6 +10,7 @@
 MOST_WORD = 64 * 1024  # bytes of one word, as of a body
 MOST_COMMAND = 65 * 1024  # and of all words of one command
 MOST_WORDS = 64
+LONG_WORD = 4 * 1024  # bytes from which a word that is not whole yet is kept as it came, and not moved as it grows
 MOST_LINE = 32
 MOST_EMPTY = 8  # commands without a word on end
 MOST_BEHIND = 64  # whole commands that may wait behind one that is being answered; bad clients send hundreds
@@ -50,6 +51,8 @@
         self._missing = 0  # words of the command being read
         self._words: list[bytes] = []
         self._size = 0
+        self._pieces: list[bytes] = []  # of a long word that is not whole yet,
+        self._expected = 0  # and bytes of it, with the line's end behind it, still to come
         self._skip = 0  # bytes of an oversize word still to pass over
         self._oversize = False
         self._checked = -1  # bytes beyond those taken that `check_behind` has found in order; -1 before it has looked
@@ -67,7 +70,7 @@
     @property
     def held(self) -> int:
         """Bytes that are kept for the rest of a command."""
-        return len(self._data) + self._size
+        return len(self._data) + self._size + sum(map(len, self._pieces))
 
     def check_behind(self, more: bytes = b"") -> None:
         """Look at what has come behind the last command, `more` with it, and take nothing of it.
@@ -119,6 +122,10 @@
                 raise MalformedError("nothing but empty commands")
             self._missing, self._words, self._size, self._oversize = max(count, 0), [], 0, False
         while self._missing:
+            if self._expected and not self._rest_of_long_word():
+                return None
+            if not self._missing:
+                break
             if not self._skip:
                 mark = self._at
                 length = self._number(b"$")
@@ -129,7 +136,11 @@
                 if length <= MOST_WORD and self._size + length <= MOST_COMMAND:
                     end = self._at + length
                     if len(self._data) < end + 2:
-                        self._at = mark
+                        if length < LONG_WORD:
+                            self._at = mark
+                        else:
+                            self._expected = length + 2
+                            self._rest_of_long_word()
                         return None
                     if self._data[end : end + 2] != b"\r\n":
                         raise MalformedError("a word does not end where it should")
@@ -154,7 +165,24 @@
             self._missing -= 1
         if self._oversize:
             return self._next()  # it has been said, and the next may be there
-        return self._words
+        words, self._words, self._size = self._words, [], 0
+        return words
+
+    def _rest_of_long_word(self) -> bool:
+        """Take what has come of a long word; whether it is whole. Raises MalformedError."""
+        end = min(self._at + self._expected, len(self._data))
+        self._pieces.append(bytes(memoryview(self._data)[self._at : end]))
+        self._expected -= end - self._at
+        self._at = end
+        if self._expected:
+            return False
+        word, self._pieces = b"".join(self._pieces), []
+        if not word.endswith(b"\r\n"):
+            raise MalformedError("a word does not end where it should")
+        self._words.append(word[:-2])
+        self._size += len(word) - 2
+        self._missing -= 1
+        return True
 
     def _number(self, mark: bytes) -> int | None:
         end = self._data.find(b"\r\n", self._at, self._at + MOST_LINE)
--- a/linkdock/service/config.py
+++ b/linkdock/service/config.py
@@ -76,7 +76,8 @@
     def most_clients(self) -> int:
         """As many as the usual clients hold, and as many for others.
 
-        At 32 KB each, the others take a quarter of the memory at most.
+        The others take a quarter of the memory at most at 32 KB each: 7 for the connection itself, 4 that were read
+        ahead, and a share of `most_held`.
         """
         usual = self.usual_clients
         kept = 16 if self.admin is None else 16 + OPERATORS  # for the process itself
@@ -84,7 +85,7 @@
 
     @property
     def most_held(self) -> int:
-        """Bytes of commands that are not whole yet: an eighth of the memory."""
+        """Bytes of commands that clients' connections hold together, whole or not: an eighth of the memory."""
         return int(self.memory_mb * 1e6 / 8)
 
     @property
--- a/linkdock/service/run.py
+++ b/linkdock/service/run.py
@@ -200,8 +200,9 @@
         self._shift.look()
 
     def _share(self, beside: bool) -> None:
-        """Another process of this sender has come or gone: the descriptors are for both together."""
+        """Another process of this sender has come or gone: descriptors and memory are for both together."""
         told = self._config
+        self.frontend.hold_bytes_at_most(told.most_held // 2 if beside else told.most_held)
         if self._clients is None:  # else they are shared out by what is measured
             self.frontend.hold_at_most(told.usual_clients if beside else told.most_clients)
         self._pool.hold_at_most(max(told.settings.slots, told.sockets // 8) if beside else told.most_backends)
--- a/linkdock/streams.py
+++ b/linkdock/streams.py
@@ -61,14 +61,16 @@
     """
     if stream.closed():
         return None
-    if read.done():
-        return None if read.cancelled() or read.exception() is not None else read.result()
+    if read.done() and (read.cancelled() or read.exception() is not None):
+        return None
+    data = read.result() if read.done() else b""
     try:
-        return stream.socket.recv(PEEK, socket.MSG_PEEK) or None
+        more = stream.socket.recv(PEEK, socket.MSG_PEEK)
     except BlockingIOError:
-        return b""
+        return data
     except OSError:
         return None
+    return data + more if more else data or None
 
 
 def shut(stream: IOStream) -> None:
