Bound the parts of an answer, however they come

Cause: the bound of a head was looked at only while its end had not come. Chunks, trailers and 1xx answers had none, and the body was joined anew at each chunk.

Change: at most 16 KB and 256 fields in a head, 256 in a trailer, 64 answers of 1xx, 2,048 chunks of a bounded body. The watch of discovery has no such bound.

--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -322,7 +322,7 @@
         Danger: a spoilt answer. A single call's first line with 200 is true by itself, whatever follows; any
         other answer counts only if the whole of it can be read, or else the call may have run.
         """
-        head, body, timer = None, b"", None
+        head, body, timer = None, bytearray(), None
         self._crossing = self._backend.first_bytes.crossing(self.server)
         look = None if self._fresh else self._backend.wheel.after(self._crossing, self._look)
         try:
@@ -332,13 +332,13 @@
                         head = part
                     elif isinstance(part, http.Body):
                         body += part.data
-                    elif self._take_answer(head, body):
+                    elif self._take_answer(head, bytes(body)):
                         return part.keep and self._in_step
                     else:
-                        head, body = None, b""
+                        head, body = None, bytearray()
                 if self._told and self.items and not self._ordered:  # else others of its key wait for all of it
                     if head is not None:
-                        self._judge(head, body)
+                        self._judge(head, bytes(body))
                     self._end_all(DELIVERED)
                 if timer is not None and not self._parser.begun:
                     timer.cancel()  # what had begun was a 1xx answer in pieces, and the one to the call is to come
--- a/linkdock/protocol/http.py
+++ b/linkdock/protocol/http.py
@@ -8,6 +8,9 @@
 from ..errors import LinkdockError
 
 MOST_HEAD = 16 * 1024
+MOST_FIELDS = 256  # of a head or a trailer; many short ones take far more memory and time than their bytes,
+MOST_CHUNKS = 2048  # as do many short chunks of a body that is bounded,
+MOST_INTERIM = 64  # and 1xx answers ahead of one
 START = b"HTTP/1."
 # Danger: `isdigit` and `int` take signs, underscores and digits of other scripts.
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-9][0-9]{2})(?: [^\r\n]*)?\Z")
@@ -90,6 +93,7 @@
         self._most, self._size = most_body, 0
         self._step = self._head
         self._left = 0
+        self._fields = self._chunks = self._interim = 0  # of the trailer, of the body, ahead of the answer
         self._keep = True
         self.status: int | None = None
         self.whole = False
@@ -155,6 +159,8 @@
             if len(self._data) > MOST_HEAD:
                 raise BadAnswer("a head without end")
             return False
+        if end > MOST_HEAD or self._data.count(b"\r\n", 0, end) > MOST_FIELDS:
+            raise BadAnswer("a head that is too long")
         version, *lines = bytes(self._data[:end]).decode("latin-1").split("\r\n")
         del self._data[: end + 4]
         headers: dict[str, str] = {}
@@ -165,6 +171,9 @@
             name, value = header[1].lower(), header[2]
             headers[name] = f"{headers[name]}, {value}" if name in headers else value
         if status < 200:
+            self._interim += 1
+            if self._interim > MOST_INTERIM:
+                raise BadAnswer("nothing but 1xx answers")
             return True
         self._keep = version.startswith("HTTP/1.1 ") and "close" not in headers.get("connection", "").lower()
         parts.append(Head(status, headers))
@@ -216,6 +225,9 @@
         size = CHUNK_SIZE.match(line)
         if size is None:
             raise BadAnswer("a chunk size that is no number")
+        self._chunks += 1
+        if self._most is not None and self._chunks > MOST_CHUNKS:
+            raise BadAnswer("a body in too many chunks")
         self._left = int(size[1], 16)
         if self._most is not None and self._size + self._left > self._most:
             raise BadAnswer("the body is too long")
@@ -244,4 +256,7 @@
         line = self._line()
         if line is None:
             return False
+        self._fields += 1
+        if self._fields > MOST_FIELDS:
+            raise BadAnswer("a trailer that is too long")
         return self._finish(parts) if not line else True
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -84,6 +84,41 @@
         http.AnswerParser().feed(text)
 
 
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+VERY_MANY = {
+    "fields": b"HTTP/1.1 200 OK\r\n" + b"a:b\r\n" * 13_000 + b"Content-Length: 0\r\n\r\n",
+    "names": b"HTTP/1.1 200 OK\r\n" + b"".join(b"a%d:\r\n" % n for n in range(3000)) + b"Content-Length: 0\r\n\r\n",
+    "chunks": CHUNKED + b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n",
+    "trailers": CHUNKED + b"0\r\n" + b"a:b\r\n" * 13_000 + b"\r\n",
+    "1xx": b"HTTP/1.1 100 On\r\n\r\n" * 3000 + b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("text", VERY_MANY.values(), ids=VERY_MANY)
+def test_an_answer_of_very_many_short_parts_is_none_and_is_read_no_further(text):
+    # 64 KB of short fields that came in one read passed the bound of a head, and held the loop.
+    parser = http.AnswerParser()
+    with pytest.raises(http.BadAnswer):
+        parser.feed(text)
+
+
+def test_a_watch_lasts_however_many_chunks_it_brings():
+    parser = http.AnswerParser(None)
+    parser.feed(CHUNKED)
+    for _ in range(2 * http.MOST_CHUNKS):
+        assert parser.feed(b"1\r\n\n\r\n") == [http.Body(b"\n")]
+
+
+def test_an_answer_with_as_many_parts_as_may_be_is_read():
+    fields = b"".join(b"a%d: b\r\n" % n for n in range(http.MOST_FIELDS - 1))
+    chunks = b"1\r\nx\r\n" * (http.MOST_CHUNKS - 1)
+    trailers = b"a: b\r\n" * (http.MOST_FIELDS - 1)
+    head = CHUNKED[:-2] + fields.split(b"\r\n", 1)[1] + b"\r\n"
+    text = b"HTTP/1.1 100 On\r\n\r\n" * http.MOST_INTERIM + head + chunks + b"0\r\n" + trailers + b"\r\n"
+    parts = http.AnswerParser().feed(text)
+    assert parts[-1] == http.Whole(True) and len(parts) == http.MOST_CHUNKS + 1
+
+
 @pytest.mark.parametrize(
     "told, load",
     [
