Remember ended ids for as long as a message's time may last

Seen by reading, on the reports of ids that ran twice when their client came again: an ended id was remembered until 4,096 others had ended, 11 s at 360 messages a second, and a message may have 16 s.

Change: it is remembered for the longest deadline of a class, up to 16,384; 4,096 stay beyond that.

Evidence: forced, the id was begun again before.

--- a/linkdock/sender/ends.py
+++ b/linkdock/sender/ends.py
@@ -7,7 +7,8 @@
 from .context import SenderContext
 
 WAITED = 0.4  # seconds that a client waits for its answer: so much of a message's time may be gone when it is read
-MOST_REMEMBERED = 4096  # ended requests that are remembered
+REMEMBERED = 4096  # ended requests that are remembered however long ago they ended,
+MOST_REMEMBERED = 16384  # and at the most, while the longest time that a message may have has not passed since
 ENDS = {"delivered": "fulfilled", "deferred": "throttled"}  # how the operators' figures call an end; else faulted
 
 
@@ -16,7 +17,8 @@
 
     def __init__(self, context: SenderContext) -> None:
         self._context = context
-        self._over: dict[str, None] = {}  # those that ended last, in order
+        self._over: dict[str, float] = {}  # those that ended last, in order, and when
+        self._longest = max(one.deadline for one in context.rules.settings.classes)  # seconds that a message may have
         self._calls: dict[str, int] = {}  # calls that may be running, of requests of ordered classes
         self._ended: set[str] = set()  # of these, whose record waits for the end of their calls
 
@@ -26,9 +28,13 @@
 
     def remember(self, request: str) -> None:
         """It has ended, here or in another process of this sender, or is that one's from now on."""
-        if len(self._over) >= MOST_REMEMBERED:
-            del self._over[next(iter(self._over))]
-        self._over[request] = None
+        now = self._context.clock()
+        while len(self._over) >= min(REMEMBERED, MOST_REMEMBERED):
+            oldest, ended_at = next(iter(self._over.items()))
+            if len(self._over) < MOST_REMEMBERED and ended_at > now - self._longest:
+                break
+            del self._over[oldest]
+        self._over[request] = now
 
     def finish(self, request: str, how: str, notice: dict | None = None, due: float = inf) -> None:
         """The one place where a taken request ends: with a notice that is owed, or with nothing.
--- a/tests/test_ids_of_other_processes.py
+++ b/tests/test_ids_of_other_processes.py
@@ -8,6 +8,7 @@
 from test_races_repeats import Two
 
 from linkdock.interface import Effect
+from linkdock.sender import ends
 from linkdock.service.take_up import Taker, TakeUp
 from linkdock.state.journal import Journal
 from linkdock.state.journal_reader import JournalChanges, OtherJournals
@@ -121,6 +122,23 @@
     assert not unordered.passes()
 
 
+def test_an_id_is_not_begun_again_while_its_time_lasts_however_many_have_ended_since(unordered):
+    # A client that had left came again after 4,096 further ends, 11 s at 360 messages a second: its order ran twice.
+    unordered.sender.held_elsewhere(JournalChanges(ended=["aa01"]))
+    longest = max(one.deadline for one in unordered.sender._context.rules.settings.classes)
+    unordered.now += longest - 1.0
+    unordered.sender.held_elsewhere(JournalChanges(ended=[f"bb{n:05}" for n in range(ends.MOST_REMEMBERED - 1)]))
+    assert unordered.ask() == [Taken(known=True)]
+
+
+def test_what_has_ended_is_forgotten_beyond_a_bound_and_beyond_a_time(unordered):
+    ended = unordered.sender._ends
+    for count, wait in ((ends.MOST_REMEMBERED + 9, 0.0), (1, 1e6)):
+        unordered.now += wait
+        unordered.sender.held_elsewhere(JournalChanges(ended=[f"{wait}-{n}" for n in range(count)]))
+        assert len(ended._over) == (ends.REMEMBERED if wait else ends.MOST_REMEMBERED)
+
+
 def test_a_request_of_an_id_that_is_found_to_be_held_elsewhere_leaves_the_turn_of_its_key(ordered):
     # The end of a bad client's request ended the turn of the message whose id it had used.
     heard = ordered.ask()
