Bound the exponents that grow with an outage

Seen: on a virtual clock the decisions raise OverflowError 45 to 55 minutes into an outage of one destination, which ends the process.

Cause: a trial's time is a power of the trials before it; only the result was bounded. The hold of a zone after relapses had the same form.

Change: 64 trials and four doublings at the most, where the results have reached their own bounds.

--- a/linkdock/decisions/pace.py
+++ b/linkdock/decisions/pace.py
@@ -10,6 +10,7 @@
 FLOOR = 2.0  # tau is never under this multiple of the recent served p95 (DESIGN)
 WINDOW = 1 / 2  # of a keyed message's window its call may last: as much is left for another
 PRIOR = 0.5  # messages that the mean of its kind weighs in a partner's rate: they differ widely
+MOST_GROWING = 64  # trials in a row that each get longer; an hour has more than a float can count
 RETRY_GROW = 1.7  # growth of a trial's pause, up to a tip span: a later trial finds a return too late
 
 
@@ -34,7 +35,7 @@
         floor = FLOOR * (y2 + e.p95())
         if link.down_at is not None:
             # A trial asks whether the link answers at all; each gets longer, for it may be slow only.
-            return min(left, floor * RETRY_GROW**link.route.trials)
+            return min(left, floor * RETRY_GROW ** min(link.route.trials, MOST_GROWING))
         most = WINDOW * m.rules.window if m.rules.effect is Effect.KEYED else inf
         return min(left, max(floor, min(most, tau(e.p, e.x, y2, KR_SCALE * e.x))))
 
--- a/linkdock/failover/judge.py
+++ b/linkdock/failover/judge.py
@@ -30,6 +30,7 @@
 CALM = 2.0  # seconds without evidence after which a suspect one serves again
 HOLD = 10.0  # seconds of good answers before a return; twice that for each relapse
 MOST_HOLD = 160.0
+MOST_DOUBLINGS = 4  # of `HOLD`, up to `MOST_HOLD`
 DRAINED = 0.5  # seconds of a zone's limit that may wait when its return is over
 MOST_RETURN = 60.0  # seconds after which it is over in any case
 STEADY = 30.0  # seconds of service after which an incident is over
@@ -305,7 +306,7 @@
     if s.state is State.OUT:
         if s.inside and seen.bad_in >= max(HEARD, 2 * seen.good_in):
             s = msgspec.structs.replace(s, inside=False)
-        hold = CALM if alone else min(MOST_HOLD, HOLD * 2**s.relapses)
+        hold = CALM if alone else min(MOST_HOLD, HOLD * 2 ** min(s.relapses, MOST_DOUBLINGS))
         if not s.by_hand and serves and now - good_since >= hold:
             return to(State.RETURNING, shifts=2)
         return s
