Hold orders that were handed back in doubt until somebody says that they never ran

Cause: doubt looked at the attempts of the one message alone. One that was handed back may have come again under another id.

Change: an order that may not run twice and ended by deferred is in doubt until a signed statement.

A test of rules had deferred orders sent again, which is the fault; it has the same checks with undeliverable ones.

--- a/linkdock/lab/versions/folder.py
+++ b/linkdock/lab/versions/folder.py
@@ -269,11 +269,21 @@
     async def _resent(self) -> None:
         """What was kept as undeliverable is sent again by the reader once its member is there."""
         self._agent.change([list_row(SHUT, self._members.dial)])
-        await command(
-            self._reader, "undeliverable", "resend", str(self._state / "undeliverable.db"), "--batch", "play", "--yes"
-        )
+        store = str(self._state / "undeliverable.db")
+        await self._state_never_ran(store, [one.name for one in (*KEPT, *UNCONFIRMED)])
+        await command(self._reader, "undeliverable", "resend", store, "--batch", "play", "--yes")
         await self._delivered([*KEPT, *UNCONFIRMED])
 
+    async def _state_never_ran(self, store: str, names: list[str]) -> None:
+        """Orders that were handed back are in doubt, as their clients may have handed them in anew; here none did."""
+        for row in json.loads(await command(self._reader, "undeliverable", "list", store, "--json")):
+            if row["id"] in names and row["in doubt"]:
+                words = ("resolve", store, row["id"], "--never-ran", "--why", "no client handed it in again")
+                try:
+                    await command(self._reader, "undeliverable", *words)
+                except VersionsError as bad:
+                    self.findings.append(f"{row['id']} stays in doubt: {bad}")
+
     def _check_files(self, written: dict[str, int]) -> None:
         """The reader goes on in the writer's files, and makes none of other names."""
         now = {path.name for path in self._state.iterdir()}
--- a/linkdock/undeliverable/facts.py
+++ b/linkdock/undeliverable/facts.py
@@ -5,6 +5,7 @@
 import msgspec
 
 NEVER, MAY, DONE = "never ran", "may have run", "ran"  # what is proven of an attempt
+HANDED_BACK = "deferred"  # the cause whose client was told when to hand the message in again
 KEPT, ASKED, CLAIMED, DELIVERED, DROPPED = "kept", "asked", "claimed", "delivered", "dropped"
 
 
@@ -45,13 +46,19 @@
 
 
 def in_doubt(message: Message, statements: list[Statement]) -> bool:
-    """Whether it may have run, may not run twice, and nobody has proven that it never ran.
+    """Whether it may have taken effect, may not do so twice, and nobody has proven that it did not.
+
+    It may have by an attempt of its own, or under another id: whose message was handed back may have handed it in anew.
 
     Danger: a licence order that is sent twice. Doubt ends by evidence alone: a proof on record, or a signed statement;
     the last one counts, and one that it ran ends the doubt the other way.
     """
+    if message.repeatable:
+        return False
+    if message.cause == HANDED_BACK and not statements:
+        return True
     spoken_of = max((s.upto for s in statements), default=0)
-    return not message.repeatable and any(a.proof == MAY and a.number >= spoken_of for a in message.attempts)
+    return any(a.proof == MAY and a.number >= spoken_of for a in message.attempts)
 
 
 def may_be_sent_again(message: Message, statements: list[Statement]) -> str | None:
@@ -61,7 +68,7 @@
     if any(a.proof == DONE for a in message.attempts) or statements and statements[-1].proof == DONE:
         return "has run"
     if in_doubt(message, statements):
-        return "is in doubt: it may have run, and may not run twice"
+        return "is in doubt: it may have run, here or under another id, and may not run twice"
     return None
 
 
