Read a wait however many decimals it is written with

Cause: a number could have twelve decimals at the most. Load reports are read by the same function.

Change: up to 400; a double written out has 325. Other forms are none, as before.

Evidence: a property test over doubles failed before.

--- a/linkdock/protocol/http.py
+++ b/linkdock/protocol/http.py
@@ -16,7 +16,7 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] ([1-9][0-9]{2})(?: [^\r\n]*)?\Z")
 HEADER = re.compile(r"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\r\n\0]*?)[ \t]*\Z")
 LENGTH = re.compile(r"[0-9]{1,12}\Z", re.ASCII)
-NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,12})?\Z")
+NUMBER = re.compile(r"[0-9]{1,9}(?:\.[0-9]{0,400})?\Z", re.ASCII)  # a double takes up to 325 decimals, written out
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?\Z")
 
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -4,6 +4,9 @@
 import os
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as tried
+from hypothesis import strategies as st
 from peers import settings
 
 from linkdock import facade
@@ -119,6 +122,21 @@
     assert parts[-1] == http.Whole(True) and len(parts) == http.MOST_CHUNKS + 1
 
 
+@tried(max_examples=300, deadline=None)
+@given(st.floats(0.0, 999_999_999.0))
+def test_a_wait_is_read_however_many_decimals_a_program_writes(seconds):
+    # 0.47000000000000003, as a program prints a double, was read as no wait, and the call came again at once.
+    assert http.number(f"{seconds!r}" if "e" not in repr(seconds) else f"{seconds:.340f}") == pytest.approx(seconds)
+    assert http.number(f"{seconds:.30f}") == pytest.approx(seconds, abs=1e-29)
+
+
+@pytest.mark.parametrize(
+    "text", ["", ".5", "1e3", "-1", "+1", "nan", "inf", "1_0", "\u0661", "1" * 10, "1.2.3", "0x1", "1,5"]
+)
+def test_what_is_no_number_as_the_protocol_writes_one_is_none(text):
+    assert http.number(text) is None
+
+
 @pytest.mark.parametrize(
     "told, load",
     [
