Failover: evidence apart from the decision that is made by it

What reports come to (Evidence, View, look and their bounds) is evidence.py now; no line of it has changed. Tests name the module that has what they use.

--- a/linkdock/failover/operators.py
+++ b/linkdock/failover/operators.py
@@ -7,8 +7,9 @@
 import msgspec
 
 from .errors import CannotCarry, NotKnown, NotOut, NotSeen, StillDown
-from .judge import ENOUGH, UNIT, ZONES, Decision, Known, Standing, State, View, look, plan, route
-from .judge import NOTHING as UNSEEN
+from .evidence import ENOUGH, ZONES, Known, View, look
+from .evidence import NOTHING as UNSEEN
+from .judge import UNIT, Decision, Standing, State, plan, route
 from .returning import Rules
 
 
--- a/linkdock/lab/scale/judging.py
+++ b/linkdock/lab/scale/judging.py
@@ -10,7 +10,8 @@
 from random import Random
 
 from ...failover import observe, returning
-from ...failover.judge import Decision, Known, judge
+from ...failover.evidence import Known
+from ...failover.judge import Decision, judge
 from ...failover.observe import BAD, GOOD, Observer
 from .measuring import grown
 from .members_mesh import ZONES
--- a/linkdock/lab/virtual_failover.py
+++ b/linkdock/lab/virtual_failover.py
@@ -19,8 +19,9 @@
 from random import Random
 from statistics import median
 
-from ..failover import judge, observe, returning, shares
-from ..failover.judge import Decision, Known, State
+from ..failover import evidence, judge, observe, returning, shares
+from ..failover.evidence import Known
+from ..failover.judge import Decision, State
 from .failover_parts import RULES, STEP, Backend, Gate, Message
 from .failover_stories import STORIES, Story
 
@@ -270,7 +271,7 @@
         back = [s for s in self.last.standings if s.state is State.RETURNING]
         if not back or self.now < self.leads_at + returning.TERM * (1 + returning.DRIFT) and self.leads_at:
             return
-        view = judge.look(known, self.now)
+        view = evidence.look(known, self.now)
         for s in back:
             key = s.destination, s.zone
             wants = {}
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -10,9 +10,10 @@
 from hypothesis import strategies as st
 
 from linkdock.facade import Server
-from linkdock.failover import flow, judge, observe, operators, returning, shares
+from linkdock.failover import evidence, flow, judge, observe, operators, returning, shares
 from linkdock.failover.errors import CannotCarry, NotKnown, NotOut, NotSeen, StillDown
-from linkdock.failover.judge import Decision, Known, State
+from linkdock.failover.evidence import Known
+from linkdock.failover.judge import Decision, State
 
 REGIONS = {0: 0, 1: 0, 2: 1}
 RULES = returning.Rules(1.5, 2.0, 0.35, 10.0)
@@ -122,9 +123,9 @@
 
 def test_old_reports_are_no_evidence_and_the_highest_number_counts():
     old = [Known(100.0, word(f"p{z}{k}", z, 5, bad=(0,))) for z in range(3) for k in range(4)]
-    assert judge.look(old, 100.0 + judge.STALE + 0.1).evidence == {}
+    assert evidence.look(old, 100.0 + evidence.STALE + 0.1).evidence == {}
     late = [Known(101.0, word(f"p{z}{k}", z, 4, good=(0,))) for z in range(3) for k in range(4)]
-    assert judge.look(old + late, 101.0).evidence[7, 0].fails()
+    assert evidence.look(old + late, 101.0).evidence[7, 0].fails()
 
 
 def test_a_zone_that_flaps_is_shifted_twice_an_incident_at_the_most():
@@ -388,12 +389,12 @@
         now += 0.25
         held = [Known(now, msgspec.structs.replace(k.report, demand=((7, 4.0, 9),))) for k in fleet(now)]
         last = judge.judge(last, held, now, REGIONS, RULES)
-        room = judge.lease_room(last.standing(7, 0), judge.look(held, now), now, RULES)
+        room = judge.lease_room(last.standing(7, 0), evidence.look(held, now), now, RULES)
         assert last.state(7, 0) is State.RETURNING and room <= RULES.allowance(30.0, now - begun) + 1e-9
     assert play(last, now, 1.0)[-1].state(7, 0) is State.SERVING
     cut = msgspec.structs.replace(last.standing(7, 0), inside=True)
     assert not judge.needs_lease(Decision(standings=(cut,)), 7, 0, 0)
-    assert judge.lease_room(cut, judge.look(held, now), now, RULES) <= 30 * (1 - flow.RESERVE) - 16
+    assert judge.lease_room(cut, evidence.look(held, now), now, RULES) <= 30 * (1 - flow.RESERVE) - 16
 
 
 @pytest.mark.parametrize(
--- a/tests/test_long_outages.py
+++ b/tests/test_long_outages.py
@@ -11,7 +11,8 @@
 
 from linkdock import interface as i
 from linkdock.decisions import Relay
-from linkdock.failover.judge import MOST_HOLD, Evidence, Standing, State, _step
+from linkdock.failover.evidence import Evidence
+from linkdock.failover.judge import MOST_HOLD, Standing, State, _step
 
 HOUR = 3600.0
 EVERY = 0.5  # seconds from one message to the next
