--- a/linkdock/protocol/calls.py
+++ b/linkdock/protocol/calls.py
@@ -12,16 +12,16 @@
 
 from ..connections.pool import BUFFER, Connection, PoolFull
 from ..errors import log_line
-from ..facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT, Peer
+from ..facade import CANCELLED, DELIVERED, ERROR, NOT_CONNECTED, NOT_SENT, RESET, TIMED_OUT
 from ..facade import Dispatch as Order
 from ..state.requests import Request
 from ..streams import answer_lag, silent
 from . import ambiguous, batches, http, outcomes
 from .ambiguous import AmbiguousAnswer
 from .backend import Backend
+from .connection_wish import ConnectionWish
 
 if TYPE_CHECKING:
-    from ..connections.kept import Asked
     from ..state.wheel import Timer
 
 log = logging.getLogger(__name__)
@@ -29,7 +29,6 @@
 MOST_BODY = 64 * 1024
 ROOM_OF_ONE = 200  # bytes of a batch that one message takes at most besides its body
 MARGIN = 0.05  # seconds before the told end of a call at which it is given up
-NO_ROOM_PAUSE = 0.05  # seconds until a connection is tried again that there was no room for
 REST_OF_ANSWER = 0.5  # seconds that an answer may take from its first byte to its last
 SECOND_ANSWER = 2.0  # times the slowest of a server's last answers: so long a second one is waited for
 CLOSED = 0.1  # seconds until a server has surely met the close of a connection
@@ -62,9 +61,7 @@
         self._ambiguous: AmbiguousAnswer | None = None  # held back until a second one tells whose it is
         self._behind = b""  # what came behind it, not read yet
         self._no_second: Timer | None = None  # when none is waited for any more
-        self._connection: Connection | None = None
-        self._asked: Asked | None = None  # the wish for one, where the keeper is on
-        self._short = False  # whether it waits for a connection that this process has no room for
+        self._wish = ConnectionWish(backend, order.server, self._row, lambda: bool(self.items))
         self._written_at, self._parser = 0.0, http.AnswerParser(MOST_BODY)
         self._last_byte_at = 0.0  # when all of it was written
         # Danger: an answer to several after the time of one of them. The platform takes a shared call's time from one
@@ -75,6 +72,10 @@
             for r, item in self.items.items()
         }
 
+    @property
+    def _connection(self) -> Connection | None:
+        return self._wish.connection
+
     @property
     def _sent(self) -> bool:
         """Whether the last byte is written, also where the loop has not come back to `_exchange` since.
@@ -132,20 +133,14 @@
         self._given_up.add(request)
         if self.items:
             return
-        if self._connection is not None:
-            self._connection.stream.close()  # the one way to take a call back; it frees the slot
-        elif self._asked is not None:
-            self._backend.kept.give_up(self._asked)
+        self._wish.give_up()  # the one way to take a call back; it frees the slot
 
     def cancel(self, request: str) -> None:
         """Stop waiting for one item."""
         self._give_up(request, CANCELLED if self._sent else NOT_SENT)
 
     def _late(self, request: str) -> None:
-        how = TIMED_OUT if self._sent else NOT_SENT if self._short else NOT_CONNECTED
-        if self._connection is None and self._asked is not None and self._backend.kept.serves(self.server):
-            how = NOT_SENT  # it waited for a connection to come free, and others were served
-        self._give_up(request, how)
+        self._give_up(request, TIMED_OUT if self._sent else NOT_SENT if self._wish.not_served() else NOT_CONNECTED)
 
     # --- The call.
 
@@ -207,11 +202,13 @@
         if self._row is None:  # gone since the decisions chose it
             self._end_all(NOT_SENT)
             return False
-        await (self._connect() if self._backend.kept is None else self._ask())
         backend = self._backend
+        await self._wish.fulfil(
+            careful=not all(backend.owner.repeatable(request) for request in self._requests.values())
+        )
         if not self.items:
             return backend.kept is not None  # the keeper's lies untouched; else it was closed to give the call up
-        if self._replaced():
+        if self._wish.replaced():
             self._end_all(NOT_SENT, tried=False)
             return False
         backend.first_bytes.reached(self.server, self._connection.peer)
@@ -246,62 +243,6 @@
             backend.observer.written(self.server, self.items, self._fresh)
         return await self._answer()
 
-    def _replaced(self) -> bool:
-        """Whether the row names another process by now than the one that the connection leads to."""
-        row = self._backend.table.row(self.server)
-        return row is not None and row.peer != self._connection.peer
-
-    async def _connect(self) -> None:
-        """A kept connection that is alive and silent, or a new one."""
-        backend, peer = self._backend, self._row.peer
-        self._connection = backend.pool.take(self.server, peer)
-        while self._connection is not None and (rest := self._connection.rested_at - backend.wheel.now) > 0:
-            # Danger: what still comes behind the last answer would pass for the answer to this call.
-            await backend.wheel.pause(rest)
-            if silent(self._connection.stream, self._connection.first):
-                break
-            backend.pool.discard(self._connection)
-            self._connection = backend.pool.take(self.server, peer)
-        if self._connection is None and self.items:
-            self._connection = await self._open(peer)
-            stream = self._connection.stream
-            timer = backend.wheel.after(backend.connect_timeout, stream.close)
-            try:
-                await stream.connect(peer.address)
-            finally:
-                timer.cancel()
-
-    async def _open(self, peer: Peer) -> Connection:
-        """A connection to be made. Raises PoolFull where there is none to be had in time.
-
-        Danger: descriptors that have run out. A call that failed at once would go through its requests' attempts in no
-        time, and they would be lost for what is no fault of any server.
-        """
-        backend, until = self._backend, self._backend.wheel.now + self._backend.connect_timeout
-        while True:
-            try:
-                return backend.pool.open(self.server, self._row.kind, peer)
-            except PoolFull:
-                if backend.wheel.now >= until:
-                    raise
-            self._short = True
-            await backend.wheel.pause(NO_ROOM_PAUSE)
-            if not self.items:
-                raise PoolFull("given up")
-            self._short = False
-
-    async def _ask(self) -> None:
-        """The keeper's: one that it trusts for what is to be sent, or the first that comes free or comes up."""
-        careful = not all(self._backend.owner.repeatable(request) for request in self._requests.values())
-        while self._connection is None:
-            self._asked = self._backend.kept.ask(self.server, self._row.kind, self._row.peer, careful)
-            connection = await self._asked.got
-            # Danger: a turn of the loop after the keeper's look. Its server may have closed it, or spoken, since.
-            if silent(connection.stream, connection.first) or not self.items:
-                self._connection = connection
-            else:
-                self._backend.kept.discard(connection)
-
     def _encode(self) -> bytes:
         left = max(item.limit for item in self.items.values()) - (self._backend.clock() - self._began)
         headers = {"X-Expires-In": f"{max(left, 0.001):.3f}"}
