Refuse the floods of a few connections at a time

Seen in trials: where 600 clients send 100 to 3,000 commands each at once, a usual client's answer comes after 0.46 to 0.59 s, later than the 0.4 s that it waits.

Cause: each flood is refused by its own session, and with hundreds of them each turn of the loop has a share of all; a command needs some turns.

Change: each flood hears its first error at once; its rest is refused by 16 sessions at a time, and without that after 2 s, so that none that was read is left out.

The test forces a flood that waits beside a usual client.

--- a/linkdock/protocol/client_session.py
+++ b/linkdock/protocol/client_session.py
@@ -29,6 +29,8 @@
 WRITE_TIMEOUT = 2.0  # seconds for a client to read an answer
 ERROR_DELAY = 0.05  # seconds that a connection waits after its first error; each further one adds as much
 MOST_ERRORS = 10  # of one connection
+MOST_REFUSING = 16  # connections whose floods are refused at once; more of them would have each turn of the loop,
+REFUSING_WAIT = 2.0  # and wait for so many seconds at the most
 REFUSED_AT_ONCE = 8  # commands of a flood in one turn of the loop; hundreds of connections may flood at once
 MOST_REFUSED = 512 * 1024  # bytes of a flood that are read, so that each whole command in them is answered
 
@@ -49,6 +51,7 @@
     """What a session needs of whoever holds all of them."""
 
     serving_mode: ServingMode | None
+    refusing: asyncio.Semaphore  # held by each of `MOST_REFUSING` sessions that refuse a flood
     ending: bool  # nothing more is read
 
     def drop(self, session: ClientSession, why: str) -> None:
@@ -198,9 +201,22 @@
         Usual clients do not wait for their answers either, and a process that was held up finds many of their commands
         at once. One that was read and is not answered is lost.
         """
-        refusal, left = resp.error(f"ERR Protocol error: {flood}"), MOST_REFUSED
+        refusal = resp.error(f"ERR Protocol error: {flood}")
         await self._write(refusal)
-        while left > 0:
+        turn = self._owner.refusing
+        try:
+            async with asyncio.timeout(REFUSING_WAIT):
+                await turn.acquire()
+        except TimeoutError:
+            return await self._refuse_rest(refusal)
+        try:
+            await self._refuse_rest(refusal)
+        finally:
+            turn.release()
+
+    async def _refuse_rest(self, refusal: bytes) -> None:
+        left = MOST_REFUSED
+        while left > 0 and not self.dropped:
             if count := self._parser.skip(REFUSED_AT_ONCE):
                 await self._write(refusal * count)
             elif waiting(self.stream, self.next_read):
--- a/linkdock/protocol/frontend.py
+++ b/linkdock/protocol/frontend.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
@@ -13,7 +14,7 @@
 
 from ..state.wheel import Wheel
 from ..streams import ClosingStreams
-from .client_session import BUFFER, READ_CHUNK, ClientSession, Sender, begin_read
+from .client_session import BUFFER, MOST_REFUSING, READ_CHUNK, ClientSession, Sender, begin_read
 from .connection_table import ConnectionEntry, ConnectionState, ConnectionTable
 from .listening import Listener
 
@@ -52,6 +53,7 @@
         self._closing_streams = ClosingStreams(wheel.after, spawn)  # given back and not closed yet
         self._accepting = True
         self.ending = False  # nothing more is read
+        self.refusing = asyncio.Semaphore(MOST_REFUSING)
         self._last_early = 0  # number of the last connection that may have waited for the start
         self.observer: Observer | None = None  # of the records, where they are on
         self.serving_mode: ServingMode | None = None  # whether clients are taken, where there are operators
--- a/tests/test_races_clients.py
+++ b/tests/test_races_clients.py
@@ -448,6 +448,26 @@
     played(story)
 
 
+@pytest.mark.parametrize("wait", [client_session.REFUSING_WAIT, 0.02])
+def test_floods_of_many_are_refused_a_few_at_a_time_and_each_in_the_end(monkeypatch, wait):
+    # Hundreds of floods had each turn of the loop, and usual clients waited longer than they do.
+    monkeypatch.setattr(client_session, "REFUSING_WAIT", wait)
+
+    async def story(rig: Rig):
+        for _ in range(client_session.MOST_REFUSING):
+            await rig.front.refusing.acquire()  # as many are being refused
+        flood, usual = rig.client(), rig.client()
+        flood.sendall(message(b"aa01") * 100)
+        assert (await rig.heard(flood, 1))[0].startswith(b"-ERR")  # said at once
+        usual.sendall(message(b"bb01"))
+        assert await rig.heard(usual, 1) == [b"+OK"]
+        if wait > 1.0:
+            rig.front.refusing.release()
+        assert len(await rig.heard(flood)) == 99
+
+    played(story)
+
+
 def test_who_waits_for_a_tick_when_the_process_leaves_is_denied_and_nothing_of_it_is_on_record(tmp_path):
     # No tick comes any more: it heard nothing, and neither did the commands that were read behind it.
     async def story():
